Verify the store by short watches at one daemon

Ruled out: a lost connection (the same watches told the next change 5 s later); one slow daemon (all six learned it within 2 ms). Change: the daemon of lowest address among those whose store answers watches for at most 1.8 s; the others keep long watches and ask again when a heartbeat names a newer change for 250 ms. Heartbeats follow each change at once.

--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -55,6 +55,9 @@
 
   void Describe(proto::GatewayHeartbeat& heartbeat) const;
   void OnHeartbeat(const proto::GatewayHeartbeat& heartbeat);
+  /// Follows up what peers know and this daemon does not.
+  void CatchUp();
+  [[nodiscard]] bool IsVerifier() const;
   void FetchFromPeer(const std::string& address, RecordFeed& feed);
   void Tick();
   void WaitForRequests(TimePoint stop_at);
@@ -71,6 +74,13 @@
   RunContext runs_;
   std::shared_ptr<const RoutingTable> table_;  // in force; null before the first one is known
   std::array<std::unique_ptr<RecordFeed>, kRecordKinds> feeds_;
+  /// The newest change of a kind that a peer has named, while this daemon does not know it.
+  struct PeerNews {
+    std::uint64_t content_revision = 0;
+    std::string peer_address;
+    TimePoint since{};
+  };
+  std::array<PeerNews, kRecordKinds> news_;
   std::map<std::string, TimerId> removals_;  // of searchers whose entry is gone, by id
   std::unique_ptr<CallerServer> caller_server_;
   std::unique_ptr<CallerServer> ready_server_;
--- a/src/include/pimentomoor/record_feed.h
+++ b/src/include/pimentomoor/record_feed.h
@@ -17,7 +17,9 @@
 struct RecordFeedOptions {
   Duration list_timeout = std::chrono::milliseconds(2'500);
   Duration watch_wait = std::chrono::seconds(25);
-  Duration watch_grace = std::chrono::milliseconds(2'500);  // beyond watch_wait, until an unanswered watch has failed
+  // Of the daemon that verifies for all: a watch can miss a change, or its connection go silent, without an error.
+  Duration verify_wait = std::chrono::milliseconds(1'800);
+  Duration watch_grace = std::chrono::milliseconds(700);  // beyond the wait, until an unanswered watch has failed
   Duration min_watch_interval = std::chrono::milliseconds(100);  // joins changes in quick succession into one call
   Duration min_backoff = std::chrono::milliseconds(100);
   Duration max_backoff = std::chrono::milliseconds(1'500);
@@ -43,6 +45,8 @@
   void Adopt(std::vector<StoredRecord> records, std::uint64_t revision);
   /// A peer knows a change of `content_revision`: asks the store again when the running watch has not told it.
   void Recheck(std::uint64_t content_revision);
+  /// Whether this daemon verifies the kind by short watches, for all daemons that hear it.
+  void SetVerifying(bool verifying);
 
   [[nodiscard]] RecordKind kind() const { return kind_; }
   [[nodiscard]] bool loaded() const { return revision_ > 0; }
@@ -78,6 +82,7 @@
   std::vector<StoredRecord> listed_;      // pages of the running list
   std::uint64_t list_revision_ = 0;       // of its first page: the watch repeats what changed between the pages
   TimePoint last_watch_{};
+  bool verifying_ = false;
   TimePoint failing_since_ = TimePoint::max();
   unsigned failures_ = 0;  // in a row
   TimerId timer_ = 0;
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -17,6 +17,8 @@
 // An entry that expired while the store was away is back within two seconds of its return.
 constexpr Duration kRemovalDelay = std::chrono::milliseconds(2'200);
 constexpr Duration kFailingBeforeRelay = std::chrono::milliseconds(600);
+// The daemon's own watch usually tells the same change within this time.
+constexpr Duration kNewsDelay = std::chrono::milliseconds(250);
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(1'000);
 constexpr std::size_t kMaxSmallBody = 4'096;
 
@@ -73,10 +75,10 @@
   };
   build(RecordKind::kRouting, {.on_put = [this](const StoredRecord& record) { OnRoutingRecord(record); },
                                .on_delete = [](const std::string&) {},  // the table in force stays
-                               .on_batch = [] {}});
+                               .on_batch = [this] { peers_->Announce(); }});
   build(RecordKind::kUpstreams, {.on_put = [this](const StoredRecord& record) { OnUpstreamRecord(record); },
                                  .on_delete = [this](const std::string& name) { OnUpstreamDeleted(name); },
-                                 .on_batch = [] {}});
+                                 .on_batch = [this] { peers_->Announce(); }});
   build(RecordKind::kOutages, {.on_put = [](const StoredRecord&) {},
                                .on_delete = [](const std::string&) {},
                                .on_batch = [this] { OnOutagesChanged(); }});
@@ -95,6 +97,10 @@
 void Gateway::Tick() {
   upstreams_.SetDaemons(peers_->CountForBudgets());
   upstreams_.Sweep();
+  CatchUp();
+  for (const auto& feed : feeds_) {
+    feed->SetVerifying(IsVerifier());
+  }
   tick_timer_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
 }
 
@@ -107,7 +113,6 @@
     if (table_ != nullptr && spec.version <= table_->version()) {
       return;
     }
-    const bool first = table_ == nullptr;
     table_ = std::make_shared<RoutingTable>(std::move(spec));
     upstreams_.ApplyServices(table_->spec().services);
     const CallerLimits& limits = table_->limits();
@@ -115,9 +120,6 @@
                               limits.idle_timeout);
     LogInfo("routing table in force", {{"version", std::to_string(table_->version())},
                                        {"routes", std::to_string(table_->spec().routes.size())}});
-    if (first) {
-      peers_->Announce();
-    }
   } catch (const FormatError& error) {
     metrics_.Count("pimentomoor_routing_malformed_total");
     LogError("routing table malformed", {{"error", error.what()}});
@@ -155,6 +157,7 @@
     failure_domains.insert(name);
   }
   upstreams_.SetOutages(std::move(failure_domains));
+  peers_->Announce();
 }
 
 void Gateway::HandleCaller(const std::shared_ptr<CallerExchange>& exchange) {
@@ -254,6 +257,9 @@
   heartbeat.set_caller_address(settings_.caller_address);
   heartbeat.set_ready(ready());
   heartbeat.set_routing_version(table_ == nullptr ? 0 : table_->version());
+  heartbeat.set_store_answers(std::all_of(feeds_.begin(), feeds_.end(), [](const auto& feed) {
+    return feed->failing_since() == TimePoint::max();
+  }));
   for (const auto& feed : feeds_) {
     heartbeat.add_revisions(feed->content_revision());
   }
@@ -261,19 +267,42 @@
 
 void Gateway::OnHeartbeat(const proto::GatewayHeartbeat& heartbeat) {
   for (const auto& feed : feeds_) {
-    const int index = static_cast<int>(feed->kind());
-    if (index >= heartbeat.revisions_size() || heartbeat.revisions(index) <= feed->content_revision()) {
+    const auto index = static_cast<std::size_t>(feed->kind());
+    if (static_cast<int>(index) >= heartbeat.revisions_size()) {
       continue;
     }
-    const bool failing = feed->failing_since() != TimePoint::max();
-    if (failing && loop_.Now() - feed->failing_since() >= kFailingBeforeRelay) {
-      FetchFromPeer(heartbeat.peer_address(), *feed);
-    } else if (!failing) {
-      feed->Recheck(heartbeat.revisions(index));
+    PeerNews& news = news_[index];
+    const std::uint64_t revision = heartbeat.revisions(static_cast<int>(index));
+    if (revision > std::max(feed->content_revision(), news.content_revision)) {
+      news = {.content_revision = revision, .peer_address = heartbeat.peer_address(), .since = loop_.Now()};
+    }
+  }
+}
+
+void Gateway::CatchUp() {
+  for (const auto& feed : feeds_) {
+    PeerNews& news = news_[static_cast<std::size_t>(feed->kind())];
+    if (news.content_revision <= feed->content_revision()) {
+      news = {};
+    } else if (feed->failing_since() != TimePoint::max()) {
+      if (loop_.Now() - feed->failing_since() >= kFailingBeforeRelay) {
+        FetchFromPeer(news.peer_address, *feed);
+      }
+    } else if (loop_.Now() - news.since >= kNewsDelay) {
+      feed->Recheck(news.content_revision);
     }
   }
 }
 
+// The daemon of lowest address among those that are alive; every one that hears no lower one verifies for itself.
+bool Gateway::IsVerifier() const {
+  const auto alive = peers_->Alive();
+  return std::none_of(alive.begin(), alive.end(), [this](const GatewayPeers::Peer* peer) {
+    return peer->heartbeat.ready() && peer->heartbeat.store_answers() &&
+           peer->heartbeat.peer_address() < settings_.peer_address;
+  });
+}
+
 void Gateway::FetchFromPeer(const std::string& address, RecordFeed& feed) {
   if (peer_client_ != nullptr) {
     return;  // one fetch at a time; the next heartbeat starts another
--- a/src/libgateway/record_feed.cpp
+++ b/src/libgateway/record_feed.cpp
@@ -90,7 +90,8 @@
 void RecordFeed::Watch() {
   last_watch_ = loop_.Now();
   metrics_.Count("pimentomoor_store_calls_total", 1, "call=\"watch\"");
-  client_.Get(codec_.WatchTarget(kind_, revision_, options_.watch_wait), options_.watch_wait + options_.watch_grace,
+  const Duration wait = verifying_ ? options_.verify_wait : options_.watch_wait;
+  client_.Get(codec_.WatchTarget(kind_, revision_, wait), wait + options_.watch_grace,
               [this](std::optional<ResponseMessage> response) { OnEvents(response); });
 }
 
@@ -162,6 +163,18 @@
   }
 }
 
+void RecordFeed::SetVerifying(bool verifying) {
+  if (verifying == verifying_) {
+    return;
+  }
+  verifying_ = verifying;
+  // The waiting watch is long: it is replaced unless the store is failing, when a retry is due anyway.
+  if (verifying_ && loaded() && failing_since_ == TimePoint::max()) {
+    client_.Abort();
+    CallLater(Duration::zero(), &RecordFeed::Watch);
+  }
+}
+
 void RecordFeed::Recheck(std::uint64_t content_revision) {
   if (!loaded() || content_revision <= std::max(content_revision_, rechecked_revision_) ||
       loop_.Now() - last_watch_ < options_.min_watch_interval) {
