Follow the store and the members through a few daemons of each failure domain

Ruled out: larger intervals alone, since the cost grows with the square of the fleet; a registry in the store, since its calls are priced and it has outages. Change: MemberList: heartbeats go to the first two daemons of the own failure domain and the first one of each other one, which reply with the members that changed. One daemon of each failure domain watches the store, the first of these verifies, the others take deltas from a peer. docs/platform.md describes the gateway.

--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -52,12 +52,16 @@
   void OnUpstreamRecord(const StoredRecord& record);
   void OnUpstreamDeleted(const std::string& name);
   void OnOutagesChanged();
+  void AnnounceSoon();
 
   void Describe(proto::GatewayHeartbeat& heartbeat) const;
+  void RespondRecords(CallerExchange& exchange, const RecordFeed& feed, std::uint64_t after);
   void OnHeartbeat(const proto::GatewayHeartbeat& heartbeat);
   /// Follows up what peers know and this daemon does not.
   void CatchUp();
-  [[nodiscard]] bool IsVerifier() const;
+  /// Decides whether this daemon follows the store or its peers.
+  void ChooseSource();
+  [[nodiscard]] bool StoreAnswers() const;
   void FetchFromPeer(const std::string& address, RecordFeed& feed);
   void Tick();
   void WaitForRequests(TimePoint stop_at);
@@ -78,9 +82,12 @@
   struct PeerNews {
     std::uint64_t content_revision = 0;
     std::string peer_address;
+    bool same_domain = false;  // of the peer
     TimePoint since{};
   };
   std::array<PeerNews, kRecordKinds> news_;
+  TimePoint started_{};
+  TimerId announce_timer_ = 0;               // 0 while no announcement is due
   std::map<std::string, TimerId> removals_;  // of searchers whose entry is gone, by id
   std::unique_ptr<CallerServer> caller_server_;
   std::unique_ptr<CallerServer> ready_server_;
--- a/src/include/pimentomoor/gateway_peers.h
+++ b/src/include/pimentomoor/gateway_peers.h
@@ -1,10 +1,8 @@
-// The gateway daemons that are alive: heartbeats by UDP between all daemons of a cell. A daemon needs it to answer
-// callers that ask where to connect, to divide shared budgets, and to notice that another daemon knows a newer state.
+// Heartbeats by UDP between the gateway daemons of a cell. A daemon needs the others to answer callers that ask where
+// to connect, to divide shared budgets, and to learn that another daemon knows a newer state.
 #pragma once
 
-#include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -12,55 +10,56 @@
 #include "gateway.pb.h"
 #include "pimentomoor/event_loop.h"
 #include "pimentomoor/io_socket.h"
+#include "pimentomoor/member_list.h"
 #include "pimentomoor/metrics.h"
 
 namespace pimentomoor {
 
 struct GatewayPeersOptions {
-  std::string peer_address;             // "IP:port" to bind
   std::vector<std::string> seed_peers;  // peer addresses that are asked first; may be stale
   Duration interval = std::chrono::milliseconds(400);
-  Duration alive_for = std::chrono::milliseconds(1'500);  // after the last heartbeat
-  Duration counted_for = std::chrono::seconds(12);        // in shared budgets, after the last heartbeat
-  Duration forgotten_after = std::chrono::seconds(60);
+  Duration join_interval = std::chrono::milliseconds(100);  // until the first daemon has answered
+  Duration join_time = std::chrono::seconds(2);             // after which `interval` holds in any case
+  Duration seed_interval = std::chrono::seconds(3);         // between heartbeats to seeds that are no targets
 
   friend bool operator==(const GatewayPeersOptions&, const GatewayPeersOptions&) = default;
 };
 
 class GatewayPeers final : public IoHandler {
  public:
-  struct Peer {
-    proto::GatewayHeartbeat heartbeat;
-    TimePoint heard_at;
-  };
-  /// Fills the heartbeat of this daemon.
+  /// Fills the sender and the content revisions of a heartbeat.
   using Describe = std::function<void(proto::GatewayHeartbeat&)>;
   using Listener = std::function<void(const proto::GatewayHeartbeat&)>;
 
+  /// Binds the peer address that `describe` names. Throws std::system_error that names it.
   GatewayPeers(EventLoop& loop, Metrics& metrics, GatewayPeersOptions options, Describe describe, Listener listener);
   ~GatewayPeers() override;
 
-  /// Sends a heartbeat now, because the state that it tells has changed.
+  /// Tells the daemons that listen to this one, and its own targets, that its state has changed.
   void Announce();
 
-  [[nodiscard]] std::vector<const Peer*> Alive() const;
-  /// Daemons that share budgets, this one included: those that are alive and those that died within the last window.
-  [[nodiscard]] std::size_t CountForBudgets() const;
+  /// Seeds can change while the daemon runs.
+  void SetSeeds(std::vector<std::string> seeds) { options_.seed_peers = std::move(seeds); }
+
+  [[nodiscard]] std::vector<proto::GatewayMember> Alive() const { return members_.Alive(loop_.Now()); }
+  [[nodiscard]] std::size_t CountForBudgets() { return members_.CountForBudgets(loop_.Now()); }
 
  private:
   void OnReadable() override;
   void OnWritable() override {}
+  void Receive(const proto::GatewayHeartbeat& heartbeat);
   void Tick();
-  void Send(const std::string& address, const std::string& bytes);
+  void Send(const std::string& address, proto::GatewayHeartbeat heartbeat);
 
   EventLoop& loop_;
   Metrics& metrics_;
   GatewayPeersOptions options_;
   Describe describe_;
   Listener listener_;
+  MemberList members_;
   std::unique_ptr<IoSocket> socket_;
-  std::map<std::string, Peer> peers_;                // by peer address, without this daemon
-  std::map<std::string, TimePoint> reported_peers_;  // addresses that others named and that have not answered yet
+  TimePoint started_;
+  TimePoint seeds_asked_{};
   TimerId timer_ = 0;
 };
 
--- a/src/include/pimentomoor/record_feed.h
+++ b/src/include/pimentomoor/record_feed.h
@@ -1,5 +1,6 @@
-// Follows one kind of objects in the platform's store: lists them, then watches for changes, and starts over when the
-// store has dropped the history. Holds the last known objects while the store is away.
+// Follows one kind of objects: lists them in the platform's store, then watches for changes, and starts over when the
+// store has dropped the history; or takes the changes that another daemon has learned. Holds the last known objects
+// while neither answers.
 #pragma once
 
 #include <functional>
@@ -19,6 +20,7 @@
   Duration watch_wait = std::chrono::seconds(25);
   // Of the daemon that verifies for all: a watch can miss a change, or its connection go silent, without an error.
   Duration verify_wait = std::chrono::milliseconds(1'800);
+  Duration probe_wait = std::chrono::milliseconds(100);   // while the store fails: an answer is wanted at once
   Duration watch_grace = std::chrono::milliseconds(700);  // beyond the wait, until an unanswered watch has failed
   Duration min_watch_interval = std::chrono::milliseconds(100);  // joins changes in quick succession into one call
   Duration min_backoff = std::chrono::milliseconds(100);
@@ -27,26 +29,42 @@
   friend bool operator==(const RecordFeedOptions&, const RecordFeedOptions&) = default;
 };
 
+/// What one daemon knows of a kind beyond a revision that another one named.
+struct RecordDelta {
+  std::uint64_t store_revision = 0;    // up to which the objects are complete
+  std::uint64_t content_revision = 0;  // of the newest change
+  std::vector<StoredRecord> changed;
+  std::vector<std::string> names;  // of all objects that exist
+};
+
 class RecordFeed {
  public:
   struct Handlers {
     std::function<void(const StoredRecord&)> on_put;
     std::function<void(const std::string& name)> on_delete;
-    std::function<void()> on_batch;  // after the changes of one answer
+    std::function<void()> on_batch;   // after the changes of one answer
+    std::function<void()> on_health;  // the store began or ceased to answer
+  };
+  enum class Source {
+    kPeers,   // no calls to the store while it is not known to fail
+    kWatch,   // long watches
+    kVerify,  // short watches, for all daemons that hear this one
   };
 
   RecordFeed(EventLoop& loop, Metrics& metrics, const PlatformCodec& codec, RecordKind kind, std::string address,
              Handlers handlers, RecordFeedOptions options = {});
   ~RecordFeed();
 
-  void Start();
+  /// Where changes come from. Begins without a source.
+  void SetSource(Source source);
+
+  /// Takes what a peer knows; ignored when this daemon knows as much.
+  void Adopt(const RecordDelta& delta);
+  [[nodiscard]] RecordDelta MakeDelta(std::uint64_t after) const;
 
-  /// Takes a peer's newer copy while the store does not answer; older copies are ignored.
-  void Adopt(std::vector<StoredRecord> records, std::uint64_t revision);
-  /// A peer knows a change of `content_revision`: asks the store again when the running watch has not told it.
+  /// A peer knows a change of `content_revision` that neither the running watch nor a peer has told: asks the store
+  /// once more for it.
   void Recheck(std::uint64_t content_revision);
-  /// Whether this daemon verifies the kind by short watches, for all daemons that hear it.
-  void SetVerifying(bool verifying);
 
   [[nodiscard]] RecordKind kind() const { return kind_; }
   [[nodiscard]] bool loaded() const { return revision_ > 0; }
@@ -54,18 +72,22 @@
   /// Revision of the newest known change of this kind; the same at every daemon that knows the change.
   [[nodiscard]] std::uint64_t content_revision() const { return content_revision_; }
   [[nodiscard]] const std::map<std::string, StoredRecord>& records() const { return records_; }
-  /// The store has not answered since then; TimePoint::max() while it answers.
+  [[nodiscard]] Source source() const { return source_; }
+  /// The store has not answered this daemon since then; TimePoint::max() while it answers.
   [[nodiscard]] TimePoint failing_since() const { return failing_since_; }
+  [[nodiscard]] bool failing() const { return failing_since_ != TimePoint::max(); }
 
  private:
+  void Call();
   void List();
   void OnPage(const std::optional<ResponseMessage>& response);
   void Watch();
   void OnEvents(const std::optional<ResponseMessage>& response);
-  void Replace(std::vector<StoredRecord> records, std::uint64_t revision);
+  void Put(const StoredRecord& record);
+  void RemoveAllExcept(const std::vector<std::string>& names);
   void Retry();
   void Succeeded();
-  void CallLater(Duration delay, void (RecordFeed::*step)());
+  void CallLater(Duration delay);
 
   EventLoop& loop_;
   Metrics& metrics_;
@@ -75,14 +97,16 @@
   const RecordFeedOptions options_;
   KeptHttpClient client_;
   Jitter jitter_;
+  Source source_ = Source::kPeers;
   std::map<std::string, StoredRecord> records_;
   std::uint64_t revision_ = 0;  // of the store, up to which records_ is complete; 0 before the first list
   std::uint64_t content_revision_ = 0;
   std::uint64_t rechecked_revision_ = 0;  // of a peer, for which the store was asked again
   std::vector<StoredRecord> listed_;      // pages of the running list
   std::uint64_t list_revision_ = 0;       // of its first page: the watch repeats what changed between the pages
+  bool listing_ = false;                  // the next call lists; a list that failed starts over
+  bool calling_ = false;                  // a call is running or due
   TimePoint last_watch_{};
-  bool verifying_ = false;
   TimePoint failing_since_ = TimePoint::max();
   unsigned failures_ = 0;  // in a row
   TimerId timer_ = 0;
--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -95,7 +95,7 @@
   void RespondSingle(ResponseMessage& response);
   void Refuse();
   void Fail(int status, const char* reason);
-  void Respond(OutgoingResponse response, const char* outcome);
+  void Respond(const OutgoingResponse& response, const char* outcome);
   void CancelRunning(TimePoint give_up_at);
 
   RunContext& context_;
--- a/src/include/pimentomoor/routing_table.h
+++ b/src/include/pimentomoor/routing_table.h
@@ -52,7 +52,7 @@
 /// What callers may send, and how long they may take.
 struct CallerLimits {
   std::uint32_t head_bytes = 16 * 1024;
-  std::uint64_t body_bytes = 1024 * 1024;
+  std::uint64_t body_bytes = std::uint64_t{1024} * 1024;
   Duration head_timeout = std::chrono::seconds(10);
   Duration idle_timeout = std::chrono::seconds(30);
 
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -2,6 +2,7 @@
 #include "pimentomoor/gateway.h"
 
 #include <algorithm>
+#include <charconv>
 #include <set>
 #include <sstream>
 
@@ -16,13 +17,18 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(25);
 // An entry that expired while the store was away is back within two seconds of its return.
 constexpr Duration kRemovalDelay = std::chrono::milliseconds(2'200);
-constexpr Duration kFailingBeforeRelay = std::chrono::milliseconds(600);
+constexpr Duration kRoutingWatchInterval = std::chrono::milliseconds(120);
+constexpr Duration kUpstreamWatchInterval = std::chrono::milliseconds(400);
+constexpr Duration kAnnounceDelay = std::chrono::milliseconds(2);
+constexpr Duration kJoinTime = std::chrono::milliseconds(300);  // until seeds have answered a daemon that starts
+constexpr Duration kFollowerJoinTime = std::chrono::milliseconds(1'500);
+constexpr std::size_t kMaxAddresses = 64;  // that callers read
 // The daemon's own watch usually tells the same change within this time.
 constexpr Duration kNewsDelay = std::chrono::milliseconds(250);
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(1'000);
 constexpr std::size_t kMaxSmallBody = 4'096;
 
-std::string KeyOf(RecordKind kind) { return std::to_string(static_cast<int>(kind)); }
+std::string RecordsPath(RecordKind kind) { return "/records/" + std::to_string(static_cast<int>(kind)); }
 
 }  // namespace
 
@@ -54,8 +60,7 @@
   directory_server_ = serve(settings_.directory_address, kMaxSmallBody, &Gateway::HandleDirectory);
   peer_server_ = serve(settings_.peer_address, kMaxSmallBody, &Gateway::HandlePeer);
   peers_ = std::make_unique<GatewayPeers>(
-      loop_, metrics_,
-      GatewayPeersOptions{.peer_address = settings_.peer_address, .seed_peers = settings_.seed_peers},
+      loop_, metrics_, GatewayPeersOptions{.seed_peers = settings_.seed_peers},
       [this](proto::GatewayHeartbeat& heartbeat) { Describe(heartbeat); },
       [this](const proto::GatewayHeartbeat& heartbeat) { OnHeartbeat(heartbeat); });
 }
@@ -63,31 +68,38 @@
 Gateway::~Gateway() {
   loop_.Cancel(tick_timer_);
   loop_.Cancel(stop_timer_);
+  loop_.Cancel(announce_timer_);
   for (const auto& [id, timer] : removals_) {
     loop_.Cancel(timer);
   }
 }
 
 void Gateway::BuildFeeds() {
-  const auto build = [this](RecordKind kind, RecordFeed::Handlers handlers) {
+  const auto build = [this](RecordKind kind, RecordFeed::Handlers handlers, Duration min_watch_interval) {
+    handlers.on_health = [this] { AnnounceSoon(); };
     feeds_[static_cast<std::size_t>(kind)] =
-        std::make_unique<RecordFeed>(loop_, metrics_, codec_, kind, settings_.store_address, std::move(handlers));
+        std::make_unique<RecordFeed>(loop_, metrics_, codec_, kind, settings_.store_address, std::move(handlers),
+                                     RecordFeedOptions{.min_watch_interval = min_watch_interval});
   };
-  build(RecordKind::kRouting, {.on_put = [this](const StoredRecord& record) { OnRoutingRecord(record); },
-                               .on_delete = [](const std::string&) {},  // the table in force stays
-                               .on_batch = [this] { peers_->Announce(); }});
-  build(RecordKind::kUpstreams, {.on_put = [this](const StoredRecord& record) { OnUpstreamRecord(record); },
-                                 .on_delete = [this](const std::string& name) { OnUpstreamDeleted(name); },
-                                 .on_batch = [this] { peers_->Announce(); }});
-  build(RecordKind::kOutages, {.on_put = [](const StoredRecord&) {},
-                               .on_delete = [](const std::string&) {},
-                               .on_batch = [this] { OnOutagesChanged(); }});
+  build(RecordKind::kRouting,
+        {.on_put = [this](const StoredRecord& record) { OnRoutingRecord(record); },
+         .on_delete = [](const std::string&) {},  // the table in force stays
+         .on_batch = [this] { AnnounceSoon(); }},
+        kRoutingWatchInterval);
+  build(RecordKind::kUpstreams,
+        {.on_put = [this](const StoredRecord& record) { OnUpstreamRecord(record); },
+         .on_delete = [this](const std::string& name) { OnUpstreamDeleted(name); },
+         .on_batch = [this] { AnnounceSoon(); }},
+        kUpstreamWatchInterval);
+  build(RecordKind::kOutages,
+        {.on_put = [](const StoredRecord&) {},
+         .on_delete = [](const std::string&) {},
+         .on_batch = [this] { OnOutagesChanged(); }},
+        kRoutingWatchInterval);
 }
 
 void Gateway::Start() {
-  for (const auto& feed : feeds_) {
-    feed->Start();
-  }
+  started_ = loop_.Now();
   Tick();
   LogInfo("gateway started", {{"host", settings_.host}, {"callers", settings_.caller_address}});
 }
@@ -97,11 +109,47 @@
 void Gateway::Tick() {
   upstreams_.SetDaemons(peers_->CountForBudgets());
   upstreams_.Sweep();
+  ChooseSource();
   CatchUp();
+  tick_timer_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
+}
+
+void Gateway::AnnounceSoon() {
+  if (announce_timer_ == 0) {
+    // After the running batch, so that several changes are told at once.
+    announce_timer_ = loop_.CallAfter(kAnnounceDelay, [this] {
+      announce_timer_ = 0;
+      peers_->Announce();
+    });
+  }
+}
+
+bool Gateway::StoreAnswers() const {
+  return std::none_of(feeds_.begin(), feeds_.end(), [](const auto& feed) { return feed->failing(); });
+}
+
+// One daemon of each failure domain, that of lowest address whose store answers, watches the store, and the first of
+// these verifies. The others take the changes from them.
+void Gateway::ChooseSource() {
+  bool first_of_domain = true;
+  bool first_of_all = true;
+  for (const auto& member : peers_->Alive()) {
+    if (member.ready() && member.store_answers() && member.peer_address() < settings_.peer_address) {
+      first_of_all = false;
+      first_of_domain = first_of_domain && member.failure_domain() != settings_.failure_domain;
+    }
+  }
+  const Duration running = loop_.Now() - started_;
   for (const auto& feed : feeds_) {
-    feed->SetVerifying(IsVerifier());
+    RecordFeed::Source source = RecordFeed::Source::kPeers;
+    if (!feed->loaded()) {
+      // A daemon that starts takes the state from a peer, and lists the store itself when none has it soon.
+      source = running >= (first_of_domain ? kJoinTime : kFollowerJoinTime) ? RecordFeed::Source::kWatch : source;
+    } else if (first_of_domain) {
+      source = first_of_all ? RecordFeed::Source::kVerify : RecordFeed::Source::kWatch;
+    }
+    feed->SetSource(source);
   }
-  tick_timer_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
 }
 
 void Gateway::OnRoutingRecord(const StoredRecord& record) {
@@ -157,7 +205,7 @@
     failure_domains.insert(name);
   }
   upstreams_.SetOutages(std::move(failure_domains));
-  peers_->Announce();
+  AnnounceSoon();
 }
 
 void Gateway::HandleCaller(const std::shared_ptr<CallerExchange>& exchange) {
@@ -195,9 +243,9 @@
   if (ready()) {
     addresses.push_back(settings_.caller_address);
   }
-  for (const auto* peer : peers_->Alive()) {
-    if (peer->heartbeat.ready()) {
-      addresses.push_back(peer->heartbeat.caller_address());
+  for (const auto& member : peers_->Alive()) {
+    if (member.ready() && addresses.size() < kMaxAddresses) {
+      addresses.push_back(member.caller_address());
     }
   }
   if (addresses.empty()) {
@@ -218,23 +266,36 @@
     exchange->Respond({.fields = "Content-Type: application/json\r\n", .body = RenderStatus()});
     return;
   }
+  constexpr std::string_view kAfter = "?after=";
   for (const auto& feed : feeds_) {
-    if (target == "/records/" + KeyOf(feed->kind())) {
-      proto::GatewayRecords records;
-      records.set_revision(feed->revision());
-      for (const auto& [name, record] : feed->records()) {
-        auto* copy = records.add_records();
-        copy->set_name(name);
-        copy->set_revision(record.revision);
-        copy->set_payload(record.payload);
-      }
-      exchange->Respond({.body = records.SerializeAsString()});
+    const std::string path = RecordsPath(feed->kind()).append(kAfter);
+    if (target.starts_with(path)) {
+      std::uint64_t after = 0;
+      std::from_chars(target.data() + path.size(), target.data() + target.size(), after);
+      RespondRecords(*exchange, *feed, after);
       return;
     }
   }
   exchange->Respond({.status = 404});
 }
 
+void Gateway::RespondRecords(CallerExchange& exchange, const RecordFeed& feed, std::uint64_t after) {
+  const RecordDelta delta = feed.MakeDelta(after);
+  proto::GatewayRecords message;
+  message.set_store_revision(delta.store_revision);
+  message.set_content_revision(delta.content_revision);
+  for (const auto& record : delta.changed) {
+    auto* copy = message.add_records();
+    copy->set_name(record.name);
+    copy->set_revision(record.revision);
+    copy->set_payload(record.payload);
+  }
+  for (const auto& name : delta.names) {
+    message.add_names(name);
+  }
+  exchange.Respond({.status = feed.loaded() ? 200 : 503, .body = message.SerializeAsString()});
+}
+
 std::string Gateway::RenderStatus() const {
   std::ostringstream out;
   out << "{\"host\":" << JsonQuote(settings_.host) << ",\"ready\":" << (ready() ? "true" : "false")
@@ -243,38 +304,46 @@
       << ",\"upstreams\":" << upstreams_.announced() << ",\"store\":{";
   for (const auto& feed : feeds_) {
     out << (feed->kind() == RecordKind::kRouting ? "" : ",") << JsonQuote(ToString(feed->kind()))
-        << ":{\"revision\":" << feed->revision()
-        << ",\"answers\":" << (feed->failing_since() == TimePoint::max() ? "true" : "false") << "}";
+        << ":{\"revision\":" << feed->revision() << ",\"answers\":" << (feed->failing() ? "false" : "true")
+        << ",\"source\":" << (feed->source() == RecordFeed::Source::kPeers ? "\"peers\"" : "\"store\"") << "}";
   }
   out << "},\"running_requests\":" << caller_server_->running_requests() << "}\n";
   return out.str();
 }
 
 void Gateway::Describe(proto::GatewayHeartbeat& heartbeat) const {
-  heartbeat.set_host(settings_.host);
-  heartbeat.set_incarnation(incarnation_);
-  heartbeat.set_failure_domain(settings_.failure_domain);
-  heartbeat.set_caller_address(settings_.caller_address);
-  heartbeat.set_ready(ready());
-  heartbeat.set_routing_version(table_ == nullptr ? 0 : table_->version());
-  heartbeat.set_store_answers(std::all_of(feeds_.begin(), feeds_.end(), [](const auto& feed) {
-    return feed->failing_since() == TimePoint::max();
-  }));
+  auto* self = heartbeat.mutable_sender();
+  self->set_host(settings_.host);
+  self->set_incarnation(incarnation_);
+  self->set_failure_domain(settings_.failure_domain);
+  self->set_caller_address(settings_.caller_address);
+  self->set_peer_address(settings_.peer_address);
+  self->set_ready(ready());
+  self->set_store_answers(StoreAnswers());
+  heartbeat.clear_content_revisions();
   for (const auto& feed : feeds_) {
-    heartbeat.add_revisions(feed->content_revision());
+    heartbeat.add_content_revisions(feed->loaded() ? std::max<std::uint64_t>(feed->content_revision(), 1) : 0);
   }
 }
 
 void Gateway::OnHeartbeat(const proto::GatewayHeartbeat& heartbeat) {
+  const auto& sender = heartbeat.sender();
+  const bool same_domain = sender.failure_domain() == settings_.failure_domain;
   for (const auto& feed : feeds_) {
     const auto index = static_cast<std::size_t>(feed->kind());
-    if (static_cast<int>(index) >= heartbeat.revisions_size()) {
+    if (static_cast<int>(index) >= heartbeat.content_revisions_size()) {
       continue;
     }
     PeerNews& news = news_[index];
-    const std::uint64_t revision = heartbeat.revisions(static_cast<int>(index));
-    if (revision > std::max(feed->content_revision(), news.content_revision)) {
-      news = {.content_revision = revision, .peer_address = heartbeat.peer_address(), .since = loop_.Now()};
+    const std::uint64_t revision = heartbeat.content_revisions(static_cast<int>(index));
+    const bool news_to_us = revision > feed->content_revision();
+    if (news_to_us && (revision > news.content_revision ||
+                       (revision == news.content_revision && same_domain && !news.same_domain))) {
+      const TimePoint since = news.content_revision == 0 ? loop_.Now() : news.since;
+      news = {.content_revision = revision,
+              .peer_address = sender.peer_address(),
+              .same_domain = same_domain,
+              .since = since};
     }
   }
 }
@@ -284,43 +353,41 @@
     PeerNews& news = news_[static_cast<std::size_t>(feed->kind())];
     if (news.content_revision <= feed->content_revision()) {
       news = {};
-    } else if (feed->failing_since() != TimePoint::max()) {
-      if (loop_.Now() - feed->failing_since() >= kFailingBeforeRelay) {
-        FetchFromPeer(news.peer_address, *feed);
-      }
-    } else if (loop_.Now() - news.since >= kNewsDelay) {
+      continue;
+    }
+    const Duration waited = loop_.Now() - news.since;
+    const bool from_peers = feed->source() == RecordFeed::Source::kPeers || feed->failing() || !feed->loaded();
+    if (from_peers && (news.same_domain || !feed->loaded() || waited >= kNewsDelay)) {
+      FetchFromPeer(news.peer_address, *feed);
+    }
+    if (feed->loaded() && waited >= (from_peers ? kRelayTimeout : kNewsDelay)) {
       feed->Recheck(news.content_revision);
     }
   }
 }
 
-// The daemon of lowest address among those that are alive; every one that hears no lower one verifies for itself.
-bool Gateway::IsVerifier() const {
-  const auto alive = peers_->Alive();
-  return std::none_of(alive.begin(), alive.end(), [this](const GatewayPeers::Peer* peer) {
-    return peer->heartbeat.ready() && peer->heartbeat.store_answers() &&
-           peer->heartbeat.peer_address() < settings_.peer_address;
-  });
-}
-
 void Gateway::FetchFromPeer(const std::string& address, RecordFeed& feed) {
   if (peer_client_ != nullptr) {
-    return;  // one fetch at a time; the next heartbeat starts another
+    return;  // one fetch at a time; the next tick starts another
   }
   peer_client_ = std::make_unique<KeptHttpClient>(loop_, codec_.field_names(), address);
-  peer_client_->Get(
-      "/records/" + KeyOf(feed.kind()), kRelayTimeout, [this, &feed](const std::optional<ResponseMessage>& response) {
-        peer_client_.reset();
-        proto::GatewayRecords records;
-        if (!response || response->status != 200 || !records.ParseFromString(response->body)) {
-          return;
-        }
-        std::vector<StoredRecord> copies;
-        for (const auto& record : records.records()) {
-          copies.push_back({.name = record.name(), .revision = record.revision(), .payload = record.payload()});
-        }
-        feed.Adopt(std::move(copies), records.revision());
-      });
+  const std::string target =
+      RecordsPath(feed.kind()) + "?after=" + std::to_string(feed.loaded() ? feed.content_revision() : 0);
+  peer_client_->Get(target, kRelayTimeout, [this, &feed](const std::optional<ResponseMessage>& response) {
+    peer_client_.reset();
+    proto::GatewayRecords message;
+    if (!response || response->status != 200 || !message.ParseFromString(response->body)) {
+      metrics_.Count("pimentomoor_gateway_fetch_failures_total");
+      news_[static_cast<std::size_t>(feed.kind())] = {};  // the next heartbeat names another source
+      return;
+    }
+    RecordDelta delta{.store_revision = message.store_revision(), .content_revision = message.content_revision()};
+    for (const auto& record : message.records()) {
+      delta.changed.push_back({.name = record.name(), .revision = record.revision(), .payload = record.payload()});
+    }
+    delta.names.assign(message.names().begin(), message.names().end());
+    feed.Adopt(delta);
+  });
 }
 
 void Gateway::ApplySettings(const GatewaySettings& settings) {
@@ -337,6 +404,7 @@
   }
   settings_ = changeable;
   runs_.settings = settings_.run;
+  peers_->SetSeeds(settings_.seed_peers);
   upstreams_.SetBudgets(settings_.retry, settings_.cold);
   LogInfo("settings applied", {{"host", settings_.host}});
 }
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -79,7 +79,7 @@
 }
 
 std::string ReadLogLevel(YamlMapReader& reader) {
-  const std::string level = reader.OptionalText("log_level", kMaxNameBytes);
+  std::string level = reader.OptionalText("log_level", kMaxNameBytes);
   if (level.empty()) {
     return "info";
   }
--- a/src/libgateway/record_feed.cpp
+++ b/src/libgateway/record_feed.cpp
@@ -20,18 +20,45 @@
 
 RecordFeed::~RecordFeed() { loop_.Cancel(timer_); }
 
-void RecordFeed::Start() { List(); }
+void RecordFeed::SetSource(Source source) {
+  if (source == source_) {
+    return;
+  }
+  source_ = source;
+  if (failing()) {
+    return;  // retries go on until the store answers
+  }
+  if (source == Source::kPeers) {
+    client_.Abort();
+    loop_.Cancel(timer_);
+    calling_ = false;
+    listed_.clear();
+  } else if (!listing_ || !calling_) {
+    client_.Abort();  // a waiting watch of another length
+    CallLater(Duration::zero());
+  }
+}
 
-void RecordFeed::CallLater(Duration delay, void (RecordFeed::*step)()) {
+void RecordFeed::CallLater(Duration delay) {
+  calling_ = true;
   loop_.Cancel(timer_);
-  timer_ = loop_.CallAfter(delay, [this, step] { (this->*step)(); });
+  timer_ = loop_.CallAfter(delay, [this] { Call(); });
+}
+
+void RecordFeed::Call() {
+  if (!loaded() || listing_) {
+    List();
+  } else {
+    Watch();
+  }
 }
 
 void RecordFeed::List() {
+  listing_ = true;
   const std::string after = listed_.empty() ? "" : listed_.back().name;
   metrics_.Count("pimentomoor_store_calls_total", 1, "call=\"list\"");
   client_.Get(codec_.ListTarget(kind_, after), options_.list_timeout,
-              [this](std::optional<ResponseMessage> response) { OnPage(response); });
+              [this](const std::optional<ResponseMessage>& response) { OnPage(response); });
 }
 
 void RecordFeed::OnPage(const std::optional<ResponseMessage>& response) {
@@ -56,24 +83,30 @@
     Retry();
     return;
   }
-  Succeeded();
-  Replace(std::move(listed_), list_revision_);
+  listing_ = false;
+  revision_ = list_revision_;
+  std::vector<std::string> names;
+  for (const auto& record : listed_) {
+    names.push_back(record.name);
+    Put(record);
+  }
   listed_.clear();
-  Watch();
+  RemoveAllExcept(names);
+  handlers_.on_batch();
+  Succeeded();
 }
 
-void RecordFeed::Replace(std::vector<StoredRecord> records, std::uint64_t revision) {
-  revision_ = revision;
-  std::set<std::string> kept;
-  for (auto& record : records) {
-    content_revision_ = std::max(content_revision_, record.revision);
-    kept.insert(record.name);
-    auto& held = records_[record.name];
-    if (held != record) {
-      held = std::move(record);
-      handlers_.on_put(held);
-    }
+void RecordFeed::Put(const StoredRecord& record) {
+  content_revision_ = std::max(content_revision_, record.revision);
+  auto& held = records_[record.name];
+  if (held != record) {
+    held = record;
+    handlers_.on_put(held);
   }
+}
+
+void RecordFeed::RemoveAllExcept(const std::vector<std::string>& names) {
+  const std::set<std::string> kept(names.begin(), names.end());
   std::vector<std::string> gone;
   for (const auto& [name, record] : records_) {
     if (!kept.contains(name)) {
@@ -84,15 +117,17 @@
     records_.erase(name);
     handlers_.on_delete(name);
   }
-  handlers_.on_batch();
 }
 
 void RecordFeed::Watch() {
   last_watch_ = loop_.Now();
   metrics_.Count("pimentomoor_store_calls_total", 1, "call=\"watch\"");
-  const Duration wait = verifying_ ? options_.verify_wait : options_.watch_wait;
+  const bool probe = failing() || source_ == Source::kPeers;
+  const Duration wait = probe                        ? options_.probe_wait
+                        : source_ == Source::kVerify ? options_.verify_wait
+                                                     : options_.watch_wait;
   client_.Get(codec_.WatchTarget(kind_, revision_, wait), wait + options_.watch_grace,
-              [this](std::optional<ResponseMessage> response) { OnEvents(response); });
+              [this](const std::optional<ResponseMessage>& response) { OnEvents(response); });
 }
 
 void RecordFeed::OnEvents(const std::optional<ResponseMessage>& response) {
@@ -109,13 +144,12 @@
   try {
     const RecordEvents answer = codec_.ParseEvents(response->body);
     for (const auto& event : answer.events) {
-      content_revision_ = std::max(content_revision_, event.record.revision);
       if (event.deleted) {
+        content_revision_ = std::max(content_revision_, event.record.revision);
         records_.erase(event.record.name);
         handlers_.on_delete(event.record.name);
       } else {
-        records_[event.record.name] = event.record;
-        handlers_.on_put(event.record);
+        Put(event.record);
       }
     }
     revision_ = std::max(revision_, answer.store_revision);
@@ -129,61 +163,72 @@
     return;
   }
   Succeeded();
-  const Duration since = loop_.Now() - last_watch_;
-  if (since >= options_.min_watch_interval) {
-    Watch();
-  } else {
-    CallLater(options_.min_watch_interval - since, &RecordFeed::Watch);
-  }
 }
 
 void RecordFeed::Retry() {
   metrics_.Count("pimentomoor_store_failures_total");
-  if (failing_since_ == TimePoint::max()) {
+  const bool began = !failing();
+  if (began) {
     failing_since_ = loop_.Now();
     LogWarn("store unavailable", {{"kind", std::string(ToString(kind_))}});
   }
   listed_.clear();
-  const Duration delay = BackoffDelay(failures_++, options_.min_backoff, options_.max_backoff, jitter_());
-  CallLater(delay, loaded() ? &RecordFeed::Watch : &RecordFeed::List);
+  CallLater(BackoffDelay(failures_++, options_.min_backoff, options_.max_backoff, jitter_()));
+  if (began) {
+    handlers_.on_health();
+  }
 }
 
 void RecordFeed::Succeeded() {
-  if (failing_since_ != TimePoint::max()) {
+  calling_ = false;
+  failures_ = 0;
+  const bool recovered = failing();
+  failing_since_ = TimePoint::max();
+  if (source_ != Source::kPeers) {
+    const Duration since = loop_.Now() - last_watch_;
+    CallLater(std::max(Duration::zero(), options_.min_watch_interval - since));
+  }
+  if (recovered) {
     LogInfo("store available", {{"kind", std::string(ToString(kind_))}});
+    handlers_.on_health();
   }
-  failing_since_ = TimePoint::max();
-  failures_ = 0;
 }
 
-void RecordFeed::Adopt(std::vector<StoredRecord> records, std::uint64_t revision) {
-  if (revision > revision_) {
-    metrics_.Count("pimentomoor_store_adopted_total");
-    Replace(std::move(records), revision);
+void RecordFeed::Adopt(const RecordDelta& delta) {
+  if (delta.store_revision <= revision_ && delta.content_revision <= content_revision_) {
+    return;
+  }
+  metrics_.Count("pimentomoor_store_adopted_total");
+  for (const auto& record : delta.changed) {
+    Put(record);
   }
+  RemoveAllExcept(delta.names);
+  revision_ = std::max(revision_, delta.store_revision);
+  content_revision_ = std::max(content_revision_, delta.content_revision);
+  listing_ = false;
+  handlers_.on_batch();
 }
 
-void RecordFeed::SetVerifying(bool verifying) {
-  if (verifying == verifying_) {
-    return;
-  }
-  verifying_ = verifying;
-  // The waiting watch is long: it is replaced unless the store is failing, when a retry is due anyway.
-  if (verifying_ && loaded() && failing_since_ == TimePoint::max()) {
-    client_.Abort();
-    CallLater(Duration::zero(), &RecordFeed::Watch);
+RecordDelta RecordFeed::MakeDelta(std::uint64_t after) const {
+  RecordDelta delta{.store_revision = revision_, .content_revision = content_revision_};
+  for (const auto& [name, record] : records_) {
+    delta.names.push_back(name);
+    if (record.revision > after) {
+      delta.changed.push_back(record);
+    }
   }
+  return delta;
 }
 
 void RecordFeed::Recheck(std::uint64_t content_revision) {
-  if (!loaded() || content_revision <= std::max(content_revision_, rechecked_revision_) ||
-      loop_.Now() - last_watch_ < options_.min_watch_interval) {
+  if (content_revision <= std::max(content_revision_, rechecked_revision_) || failing() ||
+      (calling_ && loop_.Now() - last_watch_ < options_.min_watch_interval)) {
     return;
   }
   rechecked_revision_ = content_revision;
   metrics_.Count("pimentomoor_store_rechecks_total");
   client_.Abort();
-  CallLater(Duration::zero(), &RecordFeed::Watch);
+  CallLater(Duration::zero());
 }
 
 }  // namespace pimentomoor
--- a/src/libgateway/request_answer.cpp
+++ b/src/libgateway/request_answer.cpp
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-void RequestRun::Respond(OutgoingResponse response, const char* outcome) {
+void RequestRun::Respond(const OutgoingResponse& response, const char* outcome) {
   finished_ = true;
   context_.loop.Cancel(timer_);
   context_.metrics.Count("pimentomoor_run_answers_total", 1, outcome);
@@ -41,7 +41,7 @@
     top.Add(body);
   }
   response.body = top.Merge();
-  Respond(std::move(response), done_parts_ == parts_.size() ? "outcome=\"whole\"" : "outcome=\"partial\"");
+  Respond(response, done_parts_ == parts_.size() ? "outcome=\"whole\"" : "outcome=\"partial\"");
 }
 
 void RequestRun::RespondSingle(ResponseMessage& answer) {
--- a/src/libnet/caller_server.cpp
+++ b/src/libnet/caller_server.cpp
@@ -199,9 +199,9 @@
       }
       break;
     case Phase::kReading:
-      if (waited >= server_.options_.head_timeout && !reader_->head_complete()) {
-        Refuse(408);
-      } else if (waited >= server_.options_.head_timeout + server_.options_.idle_timeout) {
+      // A body may take longer than a head, since its length is the caller's choice.
+      if (waited >= server_.options_.head_timeout +
+                        (reader_->head_complete() ? server_.options_.idle_timeout : Duration::zero())) {
         Refuse(408);
       }
       break;
