Divide searchers among senders and answer earlier by the loop's lag

Cause: 62 daemons opened connections to searchers that take 53; and on hosts with 0.12 of a core, 97 of 242 checks of 90 shards were answered at the objective minus 8 ms and arrived late. Ruled out: the searchers' time (p50 of the late ones is the objective itself, so the answer waited for its timer). Change: each daemon sends to its share of a service's searchers when they do not take all daemons; others cost more in the score. The margin before the objective is 7 ms plus 1.5 times the smoothed lateness of timers, at most 0.35 of it.

--- a/src/include/pimentomoor/http1_message.h
+++ b/src/include/pimentomoor/http1_message.h
@@ -66,6 +66,8 @@
 struct MessageLimits {
   std::uint32_t head_bytes = 16 * 1024;
   std::uint64_t body_bytes = std::uint64_t{1024} * 1024;
+
+  friend bool operator==(const MessageLimits&, const MessageLimits&) = default;
 };
 
 /// Reads one request. Create a new reader for the next one.
--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -11,6 +11,7 @@
 
 #include "pimentomoor/caller_server.h"
 #include "pimentomoor/hedge_policy.h"
+#include "pimentomoor/lag_estimate.h"
 #include "pimentomoor/metrics.h"
 #include "pimentomoor/routing_table.h"
 #include "pimentomoor/upstream_set.h"
@@ -18,8 +19,10 @@
 namespace pimentomoor {
 
 struct RunSettings {
-  // Before the objective: the answer's way to the caller and the work until it is sent.
-  Duration objective_margin = std::chrono::milliseconds(8);
+  // Before the objective: the way to the caller and back, and a connection that is opened for the request.
+  Duration objective_margin = std::chrono::milliseconds(7);
+  double lag_factor = 1.5;         // of the loop's lag, before the request is read and before the answer is sent
+  double max_margin_share = 0.35;  // of the objective
   Duration timeout_margin = std::chrono::milliseconds(25);  // before the caller's time limit
   double hedge_quantile = 0.95;
   double min_hedge_share = 0.1;  // of the objective, before which no hedge is sent
@@ -47,6 +50,7 @@
   RunSettings settings;
   std::map<std::string, RouteLatency> latencies;    // by route name
   std::map<std::string, WeightedChooser> choosers;  // by route name
+  LagEstimate lag;                                  // of this daemon's loop
   std::size_t rotation = 0;                         // breaks ties between equal searchers
 };
 
@@ -110,6 +114,7 @@
   TimePoint objective_at_{};         // when an incomplete answer is sent if it has enough parts
   TimePoint end_at_{};               // when the request is answered in any case
   TimerId timer_ = 0;
+  TimePoint timer_due_{};
   bool may_have_run_ = false;
   ResponseMessage last_failure_;  // of a searcher that ran the request; status 0 when there was none
   bool finished_ = false;
--- /dev/null
+++ b/src/include/pimentomoor/sender_set.h
@@ -0,0 +1,33 @@
+// Which daemons send to which searchers of a service when the searchers do not take connections from all of them.
+//
+// The daemons stand in an order that is drawn for each service; the one at position p sends to the searchers at
+// p, p + 1, ... of the service. So every daemon has the same number of searchers, and every searcher the same number
+// of daemons, up to one. While the searchers take connections from all daemons, the set is all of them.
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace pimentomoor {
+
+/// The searchers of one service that a daemon sends to.
+struct SenderShare {
+  std::size_t first = 0;    // position of the daemon
+  std::size_t count = 0;    // searchers that it sends to
+  std::size_t senders = 1;  // daemons that send to one searcher, at most
+
+  friend bool operator==(const SenderShare&, const SenderShare&) = default;
+};
+
+/// Share of the daemon `self`. `others` are the other daemons that are alive, `searchers` the number of searchers of
+/// the service, and `connections` how many each of them takes from all daemons together. A daemon sends to one
+/// searcher at least.
+SenderShare ShareOfSearchers(std::string_view service, std::string_view self, std::span<const std::string> others,
+                             std::size_t searchers, std::size_t connections);
+
+/// Whether the share holds the searcher at `index` of `searchers`.
+bool IsInShare(const SenderShare& share, std::size_t index, std::size_t searchers);
+
+}  // namespace pimentomoor
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -19,6 +19,10 @@
 
 class UpstreamLink;
 
+/// Part of a searcher's connections that the daemons use together: the rest is for daemons that just started and for
+/// connections that the searcher has not seen closing.
+constexpr double kConnectionShare = 0.8;
+
 /// What a searcher announces of itself. One lifetime of a searcher has one id and one birth.
 struct UpstreamEntry {
   std::string id;
@@ -83,7 +87,6 @@
   const FieldNames& names;
   std::string failure_domain;
   MessageLimits response_limits{.head_bytes = 64 * 1024, .body_bytes = std::uint64_t{8} * 1024 * 1024};
-  std::size_t daemons = 1;  // that share each searcher's limits
 };
 
 class UpstreamConnection;
@@ -126,6 +129,8 @@
   UpstreamSignals signals;
   ColdAllowance cold_allowance;
   unsigned max_connections = 1;  // of the service, from all daemons together
+  std::size_t senders = 1;       // daemons that share them
+  bool in_share = true;          // this daemon is one of them
 
  private:
   friend class UpstreamConnection;
--- a/src/include/pimentomoor/upstream_score.h
+++ b/src/include/pimentomoor/upstream_score.h
@@ -45,6 +45,7 @@
   bool resting = false;
   bool connection_ready = true;  // false: the request would wait for a connection
   bool same_domain = true;       // in this daemon's failure domain
+  bool in_share = true;          // this daemon is one of its senders
 
   friend bool operator==(const UpstreamCandidate&, const UpstreamCandidate&) = default;
 };
--- a/src/include/pimentomoor/upstream_set.h
+++ b/src/include/pimentomoor/upstream_set.h
@@ -28,7 +28,7 @@
 struct ServiceState {
   std::string name;
   ServiceSpec spec;
-  std::vector<std::shared_ptr<UpstreamLink>> links;  // of searchers that are announced
+  std::vector<std::shared_ptr<UpstreamLink>> links;  // of searchers that are announced, ordered by id
   RetryWindow retries;
 };
 
@@ -51,9 +51,10 @@
     retry_ = retry;
     cold_ = cold;
   }
-  /// Number of daemons that share limits and budgets.
-  void SetDaemons(std::size_t daemons);
-  [[nodiscard]] std::size_t daemons() const { return context_.daemons; }
+  /// Number of daemons that share budgets, and the peer addresses of this one and of the others that are alive, among
+  /// which the searchers' connections are divided.
+  void SetDaemons(std::size_t counted, const std::string& self, std::vector<std::string> others);
+  [[nodiscard]] std::size_t daemons() const { return daemons_; }
 
   /// The state of a service; created empty when it is unknown.
   ServiceState& Service(const std::string& name);
@@ -75,11 +76,16 @@
 
  private:
   void Remove(const std::shared_ptr<UpstreamLink>& link);
+  /// Divides the service's searchers among the daemons again.
+  void AssignSenders(ServiceState& service);
 
   LinkContext context_;
   RetryBudgetSettings retry_;
   ColdSettings cold_;
   TimePoint started_;
+  std::size_t daemons_ = 1;
+  std::string self_;
+  std::vector<std::string> others_;
   std::map<std::string, ServiceState> services_;
   std::map<std::string, std::shared_ptr<UpstreamLink>> by_id_;  // announced searchers
   std::vector<std::shared_ptr<UpstreamLink>> leaving_;          // withdrawn, with requests that still run
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -107,7 +107,11 @@
 bool Gateway::ready() const { return table_ != nullptr && feed(RecordKind::kUpstreams).loaded() && !stopped_; }
 
 void Gateway::Tick() {
-  upstreams_.SetDaemons(peers_->CountForBudgets());
+  std::vector<std::string> others;
+  for (const auto& member : peers_->Alive()) {
+    others.push_back(member.peer_address());
+  }
+  upstreams_.SetDaemons(peers_->CountForBudgets(), settings_.peer_address, std::move(others));
   upstreams_.Sweep();
   ChooseSource();
   CatchUp();
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -59,7 +59,10 @@
   const Duration limit = message.deadline_ms
                              ? std::min<Duration>(std::chrono::milliseconds(*message.deadline_ms), route_.timeout)
                              : std::min(kDefaultDeadline, route_.timeout);
-  objective_at_ = caller_->received_at + route_.objective - context_.settings.objective_margin;
+  const Duration margin =
+      std::min(context_.settings.objective_margin + Share(context_.lag.value(), context_.settings.lag_factor),
+               Share(route_.objective, context_.settings.max_margin_share));
+  objective_at_ = caller_->received_at + route_.objective - margin;
   end_at_ = caller_->received_at + std::max(limit - context_.settings.timeout_margin, limit / 2);
   if (latency_.expected == Duration::zero()) {
     latency_.expected = Share(route_.objective, kInitialLatencyShare);
@@ -213,7 +216,8 @@
     }
   }
   context_.loop.Cancel(timer_);
-  timer_ = context_.loop.CallAt(std::max(next, now), [weak = weak_from_this()] {
+  timer_due_ = std::max(next, now);
+  timer_ = context_.loop.CallAt(timer_due_, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->OnTimer();
     }
@@ -222,6 +226,7 @@
 
 void RequestRun::OnTimer() {
   const TimePoint now = context_.loop.Now();
+  context_.lag.Record(now - timer_due_);
   if (now >= end_at_) {
     if (gathers() && done_parts_ >= NeededParts()) {
       RespondGather();
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -12,9 +12,6 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(600);
 // How long an answer may be overdue at the searcher's deadline before its connection is given up.
 constexpr Duration kOverdue = std::chrono::milliseconds(300);
-// Part of a searcher's connections that the daemons use together: the rest is for daemons that just started and for
-// connections that the searcher has not seen closing.
-constexpr double kConnectionShare = 0.8;
 // Connections beyond a searcher's slots only queue there.
 constexpr std::size_t kConnectionsBeyondSlots = 2;
 
@@ -35,7 +32,7 @@
 
 std::size_t UpstreamLink::ConnectionLimit() const {
   const auto share = static_cast<std::size_t>(kConnectionShare * max_connections /
-                                              static_cast<double>(std::max<std::size_t>(context_.daemons, 1)));
+                                              static_cast<double>(std::max<std::size_t>(senders, 1)));
   return std::clamp<std::size_t>(share, 1, entry_.slots + kConnectionsBeyondSlots);
 }
 
@@ -49,7 +46,8 @@
           .slots = std::max<std::size_t>(entry_.slots, 1),
           .resting = doubtful_ || now < signals.resting_until,
           .connection_ready = idle,
-          .same_domain = entry_.failure_domain == context_.failure_domain};
+          .same_domain = entry_.failure_domain == context_.failure_domain,
+          .in_share = in_share};
 }
 
 void UpstreamLink::Send(const ExchangePtr& exchange) {
--- a/src/libgateway/upstream_set.cpp
+++ b/src/libgateway/upstream_set.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "pimentomoor/log.h"
+#include "pimentomoor/sender_set.h"
 
 namespace pimentomoor {
 
@@ -54,9 +55,11 @@
   }
   ServiceState& service = Service(entry.service);
   const auto link = std::make_shared<UpstreamLink>(context_, std::move(entry));
-  link->max_connections = std::max(1U, service.spec.max_connections);
-  service.links.push_back(link);
   by_id_[link->entry().id] = link;
+  const auto place = std::find_if(service.links.begin(), service.links.end(),
+                                  [&](const auto& other) { return link->entry().id < other->entry().id; });
+  service.links.insert(place, link);
+  AssignSenders(service);
 }
 
 void UpstreamSet::Withdraw(const std::string& id) {
@@ -70,7 +73,9 @@
 
 void UpstreamSet::Remove(const std::shared_ptr<UpstreamLink>& link) {
   by_id_.erase(link->entry().id);
-  std::erase(Service(link->entry().service).links, link);
+  ServiceState& service = Service(link->entry().service);
+  std::erase(service.links, link);
+  AssignSenders(service);
   link->Retire();
   leaving_.push_back(link);
 }
@@ -91,14 +96,35 @@
 void UpstreamSet::ApplyServices(const std::vector<ServiceSpec>& services) {
   for (const auto& spec : services) {
     ServiceState& service = Service(spec.name);
-    service.spec = spec;
-    for (const auto& link : service.links) {
-      link->max_connections = std::max(1U, spec.max_connections);
+    if (service.spec != spec) {
+      service.spec = spec;
+      AssignSenders(service);
     }
   }
 }
 
-void UpstreamSet::SetDaemons(std::size_t daemons) { context_.daemons = std::max<std::size_t>(daemons, 1); }
+void UpstreamSet::SetDaemons(std::size_t counted, const std::string& self, std::vector<std::string> others) {
+  daemons_ = std::max<std::size_t>(counted, 1);
+  if (others == others_ && self == self_) {
+    return;
+  }
+  self_ = self;
+  others_ = std::move(others);
+  for (auto& [name, service] : services_) {
+    AssignSenders(service);
+  }
+}
+
+void UpstreamSet::AssignSenders(ServiceState& service) {
+  const auto connections = static_cast<std::size_t>(kConnectionShare * service.spec.max_connections);
+  const SenderShare share = ShareOfSearchers(service.name, self_, others_, service.links.size(), connections);
+  for (std::size_t i = 0; i < service.links.size(); ++i) {
+    UpstreamLink& link = *service.links[i];
+    link.max_connections = std::max(1U, service.spec.max_connections);
+    link.senders = share.senders;
+    link.in_share = IsInShare(share, i, service.links.size());
+  }
+}
 
 bool UpstreamSet::IsUsable(const UpstreamLink& link) const {
   return link.usable() && !outages_.contains(link.entry().failure_domain);
@@ -110,11 +136,11 @@
     return true;
   }
   const double rate = service.spec.cold_rate * cold_.rate_factor * cold_.safety;
-  return link.cold_allowance.Take(now, rate, cold_.slack * cold_.safety, context_.daemons);
+  return link.cold_allowance.Take(now, rate, cold_.slack * cold_.safety, daemons_);
 }
 
 bool UpstreamSet::MayRetry(const ServiceState& service) const {
-  return MayAddExtra(service.retries, retry_, context_.daemons, started_, context_.loop.Now());
+  return MayAddExtra(service.retries, retry_, daemons_, started_, context_.loop.Now());
 }
 
 void UpstreamSet::CountRequest(ServiceState& service) {
--- /dev/null
+++ b/src/libroute/sender_set.cpp
@@ -0,0 +1,46 @@
+// Implementation of the sets of senders.
+#include "pimentomoor/sender_set.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace pimentomoor {
+
+namespace {
+
+// FNV-1a with a final mix, so that addresses that differ in one digit are spread.
+std::uint64_t HashPair(std::string_view service, std::string_view daemon) {
+  constexpr std::uint64_t kOffset = 0xcbf29ce484222325;
+  constexpr std::uint64_t kPrime = 0x100000001b3;
+  constexpr std::uint64_t kMix = 0xff51afd7ed558ccd;
+  constexpr unsigned kShift = 33;
+  std::uint64_t hash = kOffset;
+  for (const std::string_view text : {service, std::string_view("/"), daemon}) {
+    for (const char c : text) {
+      hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
+    }
+  }
+  hash = (hash ^ (hash >> kShift)) * kMix;
+  return hash ^ (hash >> kShift);
+}
+
+}  // namespace
+
+SenderShare ShareOfSearchers(std::string_view service, std::string_view self, std::span<const std::string> others,
+                             std::size_t searchers, std::size_t connections) {
+  const std::size_t daemons = others.size() + 1;
+  if (searchers == 0 || connections >= daemons) {
+    return {.count = searchers, .senders = daemons};
+  }
+  const std::uint64_t own = HashPair(service, self);
+  const auto position = static_cast<std::size_t>(std::count_if(
+      others.begin(), others.end(), [&](const std::string& other) { return HashPair(service, other) < own; }));
+  const std::size_t count = std::clamp<std::size_t>(connections * searchers / daemons, 1, searchers);
+  return {.first = position, .count = count, .senders = (daemons * count + searchers - 1) / searchers};
+}
+
+bool IsInShare(const SenderShare& share, std::size_t index, std::size_t searchers) {
+  return searchers > 0 && (index + searchers - share.first % searchers) % searchers < share.count;
+}
+
+}  // namespace pimentomoor
--- a/src/libroute/upstream_score.cpp
+++ b/src/libroute/upstream_score.cpp
@@ -15,6 +15,8 @@
 constexpr double kRestingCost = 100.0;
 constexpr double kConnectCost = 0.25;      // a new connection costs several milliseconds
 constexpr double kOtherDomainCost = 0.15;  // two crossings between failure domains, and their bytes
+// High enough that other daemons' searchers are used only when the own ones are much slower or unusable.
+constexpr double kOutsideShareCost = 3.0;
 constexpr Duration kMinRest = std::chrono::milliseconds(250);
 constexpr Duration kMaxRest = std::chrono::seconds(2);
 
@@ -66,7 +68,8 @@
   const double slowness = std::max(candidate.slowness, age);
   const double load = 1.0 + static_cast<double>(candidate.unanswered) / static_cast<double>(candidate.slots);
   return slowness * load + kFailureCost * candidate.failure_rate + (candidate.resting ? kRestingCost : 0.0) +
-         (candidate.connection_ready ? 0.0 : kConnectCost) + (candidate.same_domain ? 0.0 : kOtherDomainCost);
+         (candidate.connection_ready ? 0.0 : kConnectCost) + (candidate.same_domain ? 0.0 : kOtherDomainCost) +
+         (candidate.in_share ? 0.0 : kOutsideShareCost);
 }
 
 std::size_t ChooseUpstream(std::span<const UpstreamCandidate> candidates, Duration expected, std::size_t tie_break) {
