--- a/src/include/pimentomoor/caller_server.h
+++ b/src/include/pimentomoor/caller_server.h
@@ -28,12 +28,13 @@
 /// One request of a caller and its place to answer.
 class CallerExchange {
  public:
-  CallerExchange(CallerConnection* connection, RequestMessage message, TimePoint received)
-      : request(std::move(message)), received_at(received), connection_(connection) {}
+  CallerExchange(CallerConnection* connection, RequestMessage message, TimePoint received, bool first)
+      : request(std::move(message)), received_at(received), first_on_connection(first), connection_(connection) {}
 
   const RequestMessage request;
   const TimePoint received_at;
-  std::function<void()> on_gone;  // the caller closed its connection before the answer
+  const bool first_on_connection;  // the caller's time includes that of opening the connection
+  std::function<void()> on_gone;   // the caller closed its connection before the answer
 
   /// Sends the answer. Calls after the first one, or after the caller has left, do nothing.
   void Respond(const OutgoingResponse& response);
--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -53,6 +53,9 @@
   void OnUpstreamDeleted(const std::string& name);
   void OnOutagesChanged();
   void AnnounceSoon();
+  void MeasureLoad();
+  /// Addresses that the directory names.
+  [[nodiscard]] std::vector<std::string> Entries() const;
 
   void Describe(proto::GatewayHeartbeat& heartbeat) const;
   void RespondRecords(CallerExchange& exchange, const RecordFeed& feed, std::uint64_t after);
@@ -87,6 +90,9 @@
   };
   std::array<PeerNews, kRecordKinds> news_;
   TimePoint started_{};
+  TimePoint load_measured_{};
+  std::uint64_t parts_at_measure_ = 0;
+  double parts_per_s_ = 0;                   // smoothed
   TimerId announce_timer_ = 0;               // 0 while no announcement is due
   std::map<std::string, TimerId> removals_;  // of searchers whose entry is gone, by id
   std::unique_ptr<CallerServer> caller_server_;
--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -19,8 +19,9 @@
 namespace pimentomoor {
 
 struct RunSettings {
-  // Before the objective: the way to the caller and back, and a connection that is opened for the request.
+  // Before the objective: the way from the caller and back, across failure domains.
   Duration objective_margin = std::chrono::milliseconds(7);
+  Duration connection_margin = std::chrono::milliseconds(5);  // more when the caller opened a connection for it
   double lag_factor = 1.5;         // of the loop's lag, before the request is read and before the answer is sent
   double max_margin_share = 0.35;  // of the objective
   Duration timeout_margin = std::chrono::milliseconds(25);  // before the caller's time limit
@@ -51,6 +52,7 @@
   std::map<std::string, RouteLatency> latencies;    // by route name
   std::map<std::string, WeightedChooser> choosers;  // by route name
   LagEstimate lag;                                  // of this daemon's loop
+  std::uint64_t parts_sent = 0;                     // to searchers
   std::size_t rotation = 0;                         // breaks ties between equal searchers
 };
 
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -22,7 +22,7 @@
 constexpr Duration kAnnounceDelay = std::chrono::milliseconds(2);
 constexpr Duration kJoinTime = std::chrono::milliseconds(300);  // until seeds have answered a daemon that starts
 constexpr Duration kFollowerJoinTime = std::chrono::milliseconds(1'500);
-constexpr std::size_t kMaxAddresses = 64;  // that callers read
+constexpr Duration kLoadInterval = std::chrono::seconds(1);
 // The daemon's own watch usually tells the same change within this time.
 constexpr Duration kNewsDelay = std::chrono::milliseconds(250);
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(1'000);
@@ -107,17 +107,49 @@
 bool Gateway::ready() const { return table_ != nullptr && feed(RecordKind::kUpstreams).loaded() && !stopped_; }
 
 void Gateway::Tick() {
-  std::vector<std::string> others;
-  for (const auto& member : peers_->Alive()) {
-    others.push_back(member.peer_address());
-  }
-  upstreams_.SetDaemons(peers_->CountForBudgets(), settings_.peer_address, std::move(others));
+  // Searchers' connections are divided among the daemons that callers are told to use.
+  std::vector<std::string> others = Entries();
+  std::erase(others, settings_.caller_address);
+  upstreams_.SetDaemons(peers_->CountForBudgets(), settings_.caller_address, std::move(others));
+  MeasureLoad();
   upstreams_.Sweep();
   ChooseSource();
   CatchUp();
   tick_timer_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
 }
 
+void Gateway::MeasureLoad() {
+  const TimePoint now = loop_.Now();
+  const double seconds = std::chrono::duration<double>(now - load_measured_).count();
+  if (now - load_measured_ < kLoadInterval) {
+    return;
+  }
+  constexpr double kSmoothing = 0.4;
+  const double rate = static_cast<double>(runs_.parts_sent - parts_at_measure_) / seconds;
+  parts_per_s_ += kSmoothing * (rate - parts_per_s_);
+  parts_at_measure_ = runs_.parts_sent;
+  load_measured_ = now;
+}
+
+std::vector<std::string> Gateway::Entries() const {
+  std::vector<EntryCandidate> candidates;
+  if (ready()) {
+    candidates.push_back({.address = settings_.caller_address,
+                          .failure_domain = settings_.failure_domain,
+                          .capacity_millicores = settings_.capacity_millicores,
+                          .load_parts_per_s = QuantizeLoad(parts_per_s_)});
+  }
+  for (const auto& member : peers_->Alive()) {
+    if (member.ready()) {
+      candidates.push_back({.address = member.caller_address(),
+                            .failure_domain = member.failure_domain(),
+                            .capacity_millicores = member.capacity_millicores(),
+                            .load_parts_per_s = member.load_parts_per_s()});
+    }
+  }
+  return SelectEntries(candidates, settings_.entries);
+}
+
 void Gateway::AnnounceSoon() {
   if (announce_timer_ == 0) {
     // After the running batch, so that several changes are told at once.
@@ -243,15 +275,7 @@
     exchange->Respond({.status = 404});
     return;
   }
-  std::vector<std::string> addresses;
-  if (ready()) {
-    addresses.push_back(settings_.caller_address);
-  }
-  for (const auto& member : peers_->Alive()) {
-    if (member.ready() && addresses.size() < kMaxAddresses) {
-      addresses.push_back(member.caller_address());
-    }
-  }
+  const std::vector<std::string> addresses = Entries();
   if (addresses.empty()) {
     exchange->Respond({.status = 503, .fields = "Retry-After: 0.2\r\n"});
     return;
@@ -324,6 +348,8 @@
   self->set_peer_address(settings_.peer_address);
   self->set_ready(ready());
   self->set_store_answers(StoreAnswers());
+  self->set_capacity_millicores(settings_.capacity_millicores);
+  self->set_load_parts_per_s(QuantizeLoad(parts_per_s_));
   heartbeat.clear_content_revisions();
   for (const auto& feed : feeds_) {
     heartbeat.add_content_revisions(feed->loaded() ? std::max<std::uint64_t>(feed->content_revision(), 1) : 0);
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -107,6 +107,11 @@
   settings.log_level = ReadLogLevel(reader);
   settings.entry_ttl = std::chrono::seconds(reader.OptionalUnsigned("entry_ttl_s", 2, 1, kMaxTtlS));
   settings.drain_timeout = OptionalSeconds(reader, "drain_timeout_s", settings.drain_timeout);
+  constexpr double kMaxCores = 1'024;
+  constexpr double kMillicores = 1'000;
+  settings.capacity_millicores =
+      static_cast<std::uint32_t>(kMillicores * OptionalDecimal(reader, "cpu_share", 1, 0, kMaxCores) *
+                                 OptionalDecimal(reader, "cores", 1, 0, kMaxCores));
   settings.run.naive = reader.OptionalBool("naive", false);
   if (const YamlNode* retry = reader.Find("retry"); retry != nullptr) {
     settings.retry = ReadRetry(*retry, source);
--- a/src/libgateway/member_list.cpp
+++ b/src/libgateway/member_list.cpp
@@ -24,8 +24,9 @@
 
 bool SameMember(const proto::GatewayMember& left, const proto::GatewayMember& right) {
   return left.incarnation() == right.incarnation() && left.ready() == right.ready() &&
-         left.store_answers() == right.store_answers() && left.caller_address() == right.caller_address() &&
-         left.failure_domain() == right.failure_domain();
+         left.store_answers() == right.store_answers() && left.load_parts_per_s() == right.load_parts_per_s() &&
+         left.capacity_millicores() == right.capacity_millicores() &&
+         left.caller_address() == right.caller_address() && left.failure_domain() == right.failure_domain();
 }
 
 }  // namespace
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -60,7 +60,9 @@
                              ? std::min<Duration>(std::chrono::milliseconds(*message.deadline_ms), route_.timeout)
                              : std::min(kDefaultDeadline, route_.timeout);
   const Duration margin =
-      std::min(context_.settings.objective_margin + Share(context_.lag.value(), context_.settings.lag_factor),
+      std::min(context_.settings.objective_margin +
+                   (caller_->first_on_connection ? context_.settings.connection_margin : Duration::zero()) +
+                   Share(context_.lag.value(), context_.settings.lag_factor),
                Share(route_.objective, context_.settings.max_margin_share));
   objective_at_ = caller_->received_at + route_.objective - margin;
   end_at_ = caller_->received_at + std::max(limit - context_.settings.timeout_margin, limit / 2);
@@ -192,6 +194,7 @@
     context_.metrics.Count("pimentomoor_run_extra_sends_total");
   }
   ++part.arrivals;
+  ++context_.parts_sent;
   ++part.ran;  // taken back when the searcher says or the connection shows that it did not run
   part.tried.push_back(link->entry().id);
   part.running.push_back(exchange);
--- a/src/libnet/caller_server.cpp
+++ b/src/libnet/caller_server.cpp
@@ -78,6 +78,7 @@
   bool head_request_ = false;
   bool reading_requests_ = false;  // ReadRequests() is on the stack
   bool continue_sent_ = false;
+  std::uint64_t requests_ = 0;
 };
 
 void CallerExchange::Respond(const OutgoingResponse& response) {
@@ -148,7 +149,7 @@
   keep_alive_ = message.keep_alive;
   head_request_ = message.method == "HEAD";
   SetPhase(Phase::kRunning);
-  running_ = std::make_shared<CallerExchange>(this, std::move(message), server_.loop_.Now());
+  running_ = std::make_shared<CallerExchange>(this, std::move(message), server_.loop_.Now(), requests_++ == 0);
   ++server_.running_;
   const auto exchange = running_;
   server_.handler_(exchange);
