Refuse a request that has crashed searchers

Cause: a request that crashes each searcher which runs it comes again through any daemon; nothing stopped it, and a query of 20 shards would take both searchers of each. Ruled out: a canary before each new text (not affordable within 80 ms); counting every lost connection (resets of healthy connections would refuse proper requests), so a crash counts only when the searcher then refuses a connection. Change: CrashReports: daemons share fingerprints in heartbeats, at most two crashes for each attempt, refusal after three; a request that lost six parts sends none again.

--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -78,6 +78,7 @@
   const std::uint64_t incarnation_;
   Metrics metrics_;
   UpstreamSet upstreams_;
+  CrashReports crashes_;
   RunContext runs_;
   std::shared_ptr<const RoutingTable> table_;  // in force; null before the first one is known
   std::array<std::unique_ptr<RecordFeed>, kRecordKinds> feeds_;
--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "pimentomoor/caller_server.h"
+#include "pimentomoor/crash_reports.h"
 #include "pimentomoor/hedge_policy.h"
 #include "pimentomoor/lag_estimate.h"
 #include "pimentomoor/metrics.h"
@@ -48,6 +49,7 @@
   Metrics& metrics;
   const FieldNames& names;
   UpstreamSet& upstreams;
+  CrashReports& crashes;
   RunSettings settings;
   std::map<std::string, RouteLatency> latencies;    // by route name
   std::map<std::string, WeightedChooser> choosers;  // by route name
@@ -112,6 +114,7 @@
   std::shared_ptr<UpstreamRequest> request_;
   std::vector<Part> parts_;
   std::size_t done_parts_ = 0;
+  std::size_t lost_parts_ = 0;       // whose connection ended without an answer
   std::vector<std::string> bodies_;  // of the parts that are in
   TimePoint objective_at_{};         // when an incomplete answer is sent if it has enough parts
   TimePoint end_at_{};               // when the request is answered in any case
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -43,6 +44,7 @@
   std::string head;  // request line and fields, without the final empty line
   std::string body;
   std::string request_id;
+  std::uint64_t fingerprint = 0;
   bool idempotent = false;
   bool head_method = false;
   bool collect_fields = false;  // the answer's fields are passed on
@@ -86,6 +88,8 @@
   Metrics& metrics;
   const FieldNames& names;
   std::string failure_domain;
+  // A searcher crashed while it ran the request.
+  std::function<void(const UpstreamRequest&)> on_crash = [](const UpstreamRequest&) {};
   MessageLimits response_limits{.head_bytes = 64 * 1024, .body_bytes = std::uint64_t{8} * 1024 * 1024};
 };
 
@@ -141,13 +145,16 @@
   void Finish(const ExchangePtr& exchange, ExchangeOutcome outcome, ResponseMessage response);
   void FailWaiting();
   void Drop(UpstreamConnection* connection);
+  /// A request was lost without a byte of an answer: connects at once, because a refused connection tells a crash.
+  void SuspectCrash(const ExchangePtr& exchange);
   void OnConnectFailed(UpstreamConnection* connection);
 
   LinkContext& context_;
   UpstreamEntry entry_;
   std::vector<std::unique_ptr<UpstreamConnection>> connections_;  // the most recently used idle one is last
   std::deque<ExchangePtr> waiting_;                               // not sent yet
-  std::vector<ExchangePtr> unanswered_;                           // sent, oldest first
+  std::vector<std::pair<TimePoint, std::shared_ptr<const UpstreamRequest>>> suspects_;  // lost lately
+  std::vector<ExchangePtr> unanswered_;                                                 // sent, oldest first
   TimePoint cold_until_{};
   bool retired_ = false;
   bool misdirected_ = false;
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -42,11 +42,17 @@
                   .names = codec.field_names(),
                   .failure_domain = settings_.failure_domain},
                  settings_.retry, settings_.cold),
+      crashes_(incarnation_),
       runs_{.loop = loop,
             .metrics = metrics_,
             .names = codec.field_names(),
             .upstreams = upstreams_,
+            .crashes = crashes_,
             .settings = settings_.run} {
+  upstreams_.context().on_crash = [this](const UpstreamRequest& request) {
+    crashes_.Add(request.fingerprint, request.request_id, loop_.Now());
+    AnnounceSoon();
+  };
   BuildFeeds();
   const auto serve = [this](const std::string& address, std::size_t body_bytes,
                             void (Gateway::*handler)(const std::shared_ptr<CallerExchange>&)) {
@@ -350,6 +356,12 @@
   self->set_store_answers(StoreAnswers());
   self->set_capacity_millicores(settings_.capacity_millicores);
   self->set_load_parts_per_s(QuantizeLoad(parts_per_s_));
+  for (const auto& entry : crashes_.Entries(loop_.Now())) {
+    auto* report = heartbeat.add_crashes();
+    report->set_fingerprint(entry.fingerprint);
+    report->set_reporter(entry.reporter);
+    report->set_crashes(entry.crashes);
+  }
   heartbeat.clear_content_revisions();
   for (const auto& feed : feeds_) {
     heartbeat.add_content_revisions(feed->loaded() ? std::max<std::uint64_t>(feed->content_revision(), 1) : 0);
@@ -359,6 +371,10 @@
 void Gateway::OnHeartbeat(const proto::GatewayHeartbeat& heartbeat) {
   const auto& sender = heartbeat.sender();
   const bool same_domain = sender.failure_domain() == settings_.failure_domain;
+  for (const auto& report : heartbeat.crashes()) {
+    crashes_.Merge({.fingerprint = report.fingerprint(), .reporter = report.reporter(), .crashes = report.crashes()},
+                   loop_.Now());
+  }
   for (const auto& feed : feeds_) {
     const auto index = static_cast<std::size_t>(feed->kind());
     if (static_cast<int>(index) >= heartbeat.content_revisions_size()) {
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -14,6 +14,7 @@
 constexpr double kMaxSampleRatio = 4.0;  // a pause counts as a slow answer, not as many
 // Beyond the objective, so that searchers stop work on a part that hardly counts any more.
 constexpr double kPartDeadlineShare = 1.5;
+constexpr std::size_t kMaxLostParts = 6;  // of one request, after which no part is sent again
 constexpr Duration kMinPartSlack = std::chrono::milliseconds(60);
 
 Duration Share(Duration whole, double share) {
@@ -53,6 +54,7 @@
   request_->head = FormatRequestHead(message, context_.names);
   request_->body = message.body;
   request_->request_id = message.request_id;
+  request_->fingerprint = FingerprintRequest(message.method, message.host, message.target, message.body);
   request_->idempotent = route_.idempotent;
   request_->head_method = message.method == "HEAD";
   request_->collect_fields = !gathers();
@@ -87,6 +89,11 @@
   for (auto& part : parts_) {
     context_.upstreams.CountRequest(*part.service);
   }
+  if (context_.crashes.IsRefused(request_->fingerprint, context_.loop.Now())) {
+    context_.metrics.Count("pimentomoor_run_refused_total", 1, "reason=\"crashes searchers\"");
+    Refuse();
+    return;
+  }
   if (ServableParts() < NeededParts()) {
     context_.metrics.Count("pimentomoor_run_refused_total", 1, "reason=\"no searcher\"");
     Refuse();
@@ -168,6 +175,9 @@
   if (part.arrivals == 0) {
     return true;
   }
+  if (lost_parts_ >= kMaxLostParts) {
+    return false;
+  }
   if (part.ran >= route_.attempts || (!route_.idempotent && part.ran > 0)) {
     return false;
   }
@@ -287,6 +297,8 @@
   if (outcome == ExchangeOutcome::kAnswered && !response.encoded && !response.stamp.empty()) {
     last_failure_ = std::move(response);
   }
+  // A request that crashes searchers must not take the other searchers of its shards as well.
+  lost_parts_ += outcome == ExchangeOutcome::kLost ? 1 : 0;
   OnPartFailed(index);
 }
 
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -2,6 +2,7 @@
 #include "pimentomoor/upstream_link.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "upstream_connection.h"
 
@@ -10,6 +11,8 @@
 namespace {
 
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(600);
+// A crashed searcher refuses connections at once; it is back after some seconds.
+constexpr Duration kCrashWindow = std::chrono::milliseconds(800);
 // How long an answer may be overdue at the searcher's deadline before its connection is given up.
 constexpr Duration kOverdue = std::chrono::milliseconds(300);
 // Connections beyond a searcher's slots only queue there.
@@ -105,7 +108,14 @@
 void UpstreamLink::OnConnectFailed(UpstreamConnection* connection) {
   Drop(connection);
   context_.metrics.Count("pimentomoor_upstream_connect_failures_total");
-  RecordConnectFailure(signals, context_.loop.Now());
+  const TimePoint now = context_.loop.Now();
+  RecordConnectFailure(signals, now);
+  for (const auto& [lost_at, request] : std::exchange(suspects_, {})) {
+    if (now - lost_at < kCrashWindow) {
+      context_.metrics.Count("pimentomoor_upstream_crashes_total");
+      context_.on_crash(*request);
+    }
+  }
   const bool other =
       std::any_of(connections_.begin(), connections_.end(), [](const auto& left) { return left->connected(); });
   if (!other) {
@@ -113,6 +123,15 @@
   }
 }
 
+void UpstreamLink::SuspectCrash(const ExchangePtr& exchange) {
+  const TimePoint now = context_.loop.Now();
+  std::erase_if(suspects_, [&](const auto& suspect) { return now - suspect.first >= kCrashWindow; });
+  suspects_.emplace_back(now, exchange->request);
+  if (connections_.empty() && !retired_) {
+    OpenConnection();
+  }
+}
+
 void UpstreamLink::FailWaiting() {
   std::deque<ExchangePtr> failed;
   failed.swap(waiting_);
@@ -136,6 +155,9 @@
   } else if (outcome != ExchangeOutcome::kNotSent) {
     RecordFailure(signals, now);
   }
+  if (outcome == ExchangeOutcome::kLost) {
+    SuspectCrash(exchange);
+  }
   if (response.status == 421) {
     MarkMisdirected();
   }
