Refuse NaN in gateway settings

Cause: from_chars reads 'nan', which compares false with every bound. A ratio became NaN; a time was an undefined conversion.

Change: the range check requires the value to be within the bounds.

Run: inputs nan and nan-time failed in the fuzz target before and pass now; 259,222 further inputs in 60 s without a finding.

Conclusion: every accepted number is in its range.

--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -30,7 +30,9 @@
   }
   double value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size() || value < min || value > max) {
+  // NaN, which from_chars reads, compares false with every bound.
+  const bool in_range = value >= min && value <= max;
+  if (error != std::errc() || end != text.data() + text.size() || !in_range) {
     reader.Fail(reader.Require(key).line, key,
                 QuoteForError(text) + " is not a number from " + std::to_string(min) + " to " + std::to_string(max));
   }
