Bound the member list against reported members

Cause: only own heartbeats were limited by max_members. Members in replies, the count for budgets, and the bytes of a member, with the unknown fields that protobuf keeps, were not; an address with a NUL passed for another one.

Change: max_members holds for each reporter, for the daemons that are alive and for the count; a member has at most 1 KiB; an address is accepted in its one spelling only.

Conclusion: what one daemon is told by others stays bounded.

--- a/src/include/pimentomoor/member_list.h
+++ b/src/include/pimentomoor/member_list.h
@@ -22,6 +22,7 @@
   std::size_t own_domain_targets = 2;                     // daemons of its failure domain that get its heartbeats
   std::size_t other_domain_targets = 1;                   // of each other failure domain
   std::size_t max_members = 256;                          // more are ignored
+  std::size_t max_member_bytes = 1'024;                   // encoded; a larger member is malformed
 
   friend bool operator==(const MemberListOptions&, const MemberListOptions&) = default;
 };
@@ -59,20 +60,21 @@
     bool listed_alive = true;           // as the list last told it
   };
   struct Reported {
-    std::map<std::string, proto::GatewayMember> alive;  // by peer address
+    std::map<std::string, proto::GatewayMember> alive;  // by peer address, at most max_members
     std::uint64_t incarnation = 0;                      // of the reporting daemon
     std::uint64_t version = 0;
     TimePoint at;
   };
+  [[nodiscard]] bool IsComplete(const proto::GatewayMember& member) const;
   void TakeChanges(const proto::GatewayHeartbeat& reply, TimePoint now);
   void ExpireHeard(TimePoint now);
 
   proto::GatewayMember self_;
   MemberListOptions options_;
-  std::map<std::string, Heard> heard_;        // by peer address
-  std::map<std::string, Reported> reported_;  // by the peer address of the daemon that reported
-  std::map<std::string, TimePoint> last_alive_;
-  std::uint64_t version_ = 0;  // grows with each change of heard_
+  std::map<std::string, Heard> heard_;           // by peer address
+  std::map<std::string, Reported> reported_;     // by the peer address of the daemon that reported
+  std::map<std::string, TimePoint> last_alive_;  // at most max_members
+  std::uint64_t version_ = 0;                    // grows with each change of heard_
 };
 
 }  // namespace pimentomoor
--- a/src/libgateway/member_list.cpp
+++ b/src/libgateway/member_list.cpp
@@ -9,19 +9,16 @@
 
 namespace {
 
+// Whether `text` is the one spelling of its address. Others, for example with a NUL after the IP number, would list
+// one daemon twice and pass for another address than the own.
 bool IsAddress(const std::string& text) {
   try {
-    ParseSocketAddress(text);
-    return true;
+    return FormatSocketAddress(ParseSocketAddress(text)) == text;
   } catch (const std::invalid_argument&) {
     return false;
   }
 }
 
-bool IsComplete(const proto::GatewayMember& member) {
-  return IsAddress(member.peer_address()) && IsAddress(member.caller_address()) && !member.failure_domain().empty();
-}
-
 bool SameMember(const proto::GatewayMember& left, const proto::GatewayMember& right) {
   return left.incarnation() == right.incarnation() && left.ready() == right.ready() &&
          left.store_answers() == right.store_answers() && left.caller_address() == right.caller_address() &&
@@ -33,6 +30,12 @@
 MemberList::MemberList(proto::GatewayMember self, MemberListOptions options)
     : self_(std::move(self)), options_(options) {}
 
+bool MemberList::IsComplete(const proto::GatewayMember& member) const {
+  // The size counts unknown fields as well, which protobuf keeps and sends on.
+  return IsAddress(member.peer_address()) && IsAddress(member.caller_address()) && !member.failure_domain().empty() &&
+         member.ByteSizeLong() <= options_.max_member_bytes;
+}
+
 bool MemberList::Receive(const proto::GatewayHeartbeat& heartbeat, TimePoint now) {
   const proto::GatewayMember& sender = heartbeat.sender();
   const std::string& address = sender.peer_address();
@@ -69,10 +72,10 @@
     if (!IsComplete(change.member()) || address == self_.peer_address()) {
       continue;
     }
-    if (change.alive()) {
-      reported.alive[address] = change.member();
-    } else {
+    if (!change.alive()) {
       reported.alive.erase(address);
+    } else if (reported.alive.contains(address) || reported.alive.size() < options_.max_members) {
+      reported.alive[address] = change.member();
     }
   }
 }
@@ -114,18 +117,24 @@
 }
 
 std::vector<proto::GatewayMember> MemberList::Alive(TimePoint now) const {
+  // Of several incarnations, a heartbeat that this daemon got itself decides, so these come first. heard_ is bounded.
   std::map<std::string, const proto::GatewayMember*> alive;
+  std::map<std::string, const proto::GatewayMember*> told;
+  for (const auto& [address, heard] : heard_) {
+    if (now - heard.at < options_.alive_for) {
+      alive[address] = &heard.member;
+    }
+  }
   for (const auto& [reporter, reported] : reported_) {
     if (now - reported.at < options_.alive_for) {
       for (const auto& [address, member] : reported.alive) {
-        // Of several incarnations that are reported, a heartbeat of this daemon's own decides below.
-        alive[address] = &member;
+        told[address] = &member;
       }
     }
   }
-  for (const auto& [address, heard] : heard_) {
-    if (now - heard.at < options_.alive_for) {
-      alive[address] = &heard.member;
+  for (const auto& [address, member] : told) {
+    if (alive.size() < options_.max_members) {
+      alive.emplace(address, member);
     }
   }
   std::vector<proto::GatewayMember> members;
@@ -159,10 +168,12 @@
 }
 
 std::size_t MemberList::CountForBudgets(TimePoint now) {
+  std::erase_if(last_alive_, [&](const auto& entry) { return now - entry.second >= options_.counted_for; });
   for (const auto& member : Alive(now)) {
-    last_alive_[member.peer_address()] = now;
+    if (last_alive_.contains(member.peer_address()) || last_alive_.size() < options_.max_members) {
+      last_alive_[member.peer_address()] = now;
+    }
   }
-  std::erase_if(last_alive_, [&](const auto& entry) { return now - entry.second >= options_.counted_for; });
   std::erase_if(heard_, [&](const auto& entry) { return now - entry.second.at >= options_.counted_for; });
   std::erase_if(reported_, [&](const auto& entry) { return now - entry.second.at >= options_.counted_for; });
   return 1 + last_alive_.size();
