Judge a message's head independently of how its bytes arrive

Cause: the fuzz targets found splits that changed the outcome. A wrong head (no Host, unknown coding) before an unfinished body counted as unfinished instead of malformed. The head limit held for start line and fields each when they arrived together, and for their sum otherwise.

Change: the head is checked before the need for more bytes, and its bytes are counted. Bytes after the head are passed to the parser in a second call.

Conclusion: the same bytes give the same message; two differences in the time of a failure remain, see Agree() in src/fuzz/fuzz_target.h.

--- a/src/include/pimentomoor/http1_message.h
+++ b/src/include/pimentomoor/http1_message.h
@@ -103,6 +103,7 @@
   ReadStatus ReadEnd();
 
   [[nodiscard]] bool started() const;
+  [[nodiscard]] bool head_complete() const;
   ResponseMessage& message();
 
  private:
--- a/src/libnet/http1_message.cpp
+++ b/src/libnet/http1_message.cpp
@@ -94,6 +94,13 @@
     error_code error;
     const std::size_t used = parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
     bytes.remove_prefix(used);
+    if ((!error || error == http::error::need_more) && parser.CountHead(used, bytes.size())) {
+      return ReadStatus::kHeadTooLarge;
+    }
+    // Before need_more: a body that is not complete yet must not hide that the head is wrong.
+    if (parser.is_header_done() && parser.bad()) {
+      return ReadStatus::kMalformed;
+    }
     if (error == http::error::need_more) {
       return ReadStatus::kNeedMore;
     }
@@ -114,10 +121,22 @@
 template <bool is_request, typename Message>
 class MessageParser : public http::basic_parser<is_request> {
  public:
-  MessageParser(const FieldNames& names, const MessageLimits& limits) : names_(names) {
+  MessageParser(const FieldNames& names, const MessageLimits& limits)
+      : names_(names), head_limit_(limits.head_bytes) {
     this->header_limit(limits.head_bytes);
     this->body_limit(limits.body_bytes);
-    this->eager(true);
+    this->eager(false);  // so that the call that completes the head uses nothing after it
+  }
+
+  // Counts the `used` bytes of a call, and returns whether the head is too large with the `left` ones if it goes on.
+  // Beast limits the start line and the fields each when they arrive together, and their sum when they do not.
+  bool CountHead(std::size_t used, std::size_t left) {
+    if (this->eager()) {
+      return false;
+    }
+    head_bytes_ += used;
+    this->eager(this->is_header_done());
+    return head_bytes_ + (this->eager() ? 0 : left) > head_limit_;
   }
 
   [[nodiscard]] bool bad() const { return bad_; }
@@ -151,6 +170,8 @@
   }
 
   const FieldNames& names_;
+  const std::size_t head_limit_;
+  std::size_t head_bytes_ = 0;
   Message message_;
   std::vector<std::string> connection_tokens_;
   bool bad_ = false;
@@ -309,6 +330,7 @@
 ResponseReader::~ResponseReader() = default;
 ReadStatus ResponseReader::Read(std::string_view& bytes) { return Feed(*parser_, bytes); }
 bool ResponseReader::started() const { return parser_->started(); }
+bool ResponseReader::head_complete() const { return parser_->is_header_done(); }
 ResponseMessage& ResponseReader::message() { return parser_->message(); }
 
 ReadStatus ResponseReader::ReadEnd() {
