Fuzz the parsers of what other processes send

Cause: requests, responses, store answers, settings and heartbeats come from outside the process; no test explored them guided by coverage.

--- /dev/null
+++ b/src/fuzz/request.cpp
@@ -0,0 +1,49 @@
+// Fuzz target: requests of callers. The message or the failure must not depend on how the bytes were split.
+//
+// The input ends with the step and the split point (a byte and two bytes); the request precedes them.
+#include <tuple>
+
+#include "fuzz_target.h"
+#include "pimentomoor/platform_codec.h"
+
+namespace pimentomoor::fuzz {
+
+namespace {
+
+auto Fields(const RequestMessage& message) {
+  return std::tie(message.method, message.target, message.host, message.request_id, message.deadline_ms,
+                  message.forward_fields, message.body, message.has_body, message.keep_alive,
+                  message.expects_continue);
+}
+
+void ReadRequest(FuzzedDataProvider& data) {
+  static const auto codec = MakePlatformCodec();
+  const std::size_t split = data.ConsumeIntegral<std::uint16_t>();
+  const std::size_t step = data.ConsumeIntegralInRange<std::size_t>(1, 256);
+  const std::string input = data.ConsumeRemainingBytesAsString();
+  RequestReader whole(codec->field_names(), SmallLimits());
+  const ReadResult expected = ReadInPieces(whole, input, input.size(), 1);
+  RequestReader pieces(codec->field_names(), SmallLimits());
+  const ReadResult actual = ReadInPieces(pieces, input, split % (input.size() + 1), step);
+  Check(Agree(expected.status, actual.status, whole.head_complete(), input),
+        "the status does not depend on the split");
+  if (expected.status != ReadStatus::kComplete) {
+    return;
+  }
+  Check(actual.used == expected.used, "the end of the message does not depend on the split");
+  const RequestMessage& message = whole.message();
+  Check(Fields(pieces.message()) == Fields(message), "the message does not depend on the split");
+  Check(message.body.size() <= SmallLimits().body_bytes, "the body is within the limit");
+  Check(message.target.starts_with('/'), "the target is a path");
+  static_cast<void>(codec->IsResolve(message) || codec->IsReady(message));
+}
+
+}  // namespace
+
+}  // namespace pimentomoor::fuzz
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* bytes, std::size_t size) {
+  FuzzedDataProvider data(bytes, size);
+  pimentomoor::fuzz::ReadRequest(data);
+  return 0;
+}
