Follow the linter in the tests of the platform's formats and a fuzz target

Cause: clang-tidy reports a test group in an unnamed namespace and a conversion in function style.

Change: the group stands in the named namespace, as in the other tests; the prefix is a string.

Run: clang-tidy passes on both files; net_test.cpp and platform_codec_test.cpp pass (20 tests, 1033 checks, built with clang under AddressSanitizer and UBSan); src/fuzz/run.sh 0 passes.

--- a/src/fuzz/response.cpp
+++ b/src/fuzz/response.cpp
@@ -35,7 +35,7 @@
   Check(!complete || actual.used == expected.used, "the end of the message does not depend on the split");
   if (complete && expected.used > 0) {
     ResponseReader cut_off = make_reader();
-    const std::string_view prefix = std::string_view(input).substr(0, cut % expected.used);
+    const std::string prefix = input.substr(0, cut % expected.used);
     Check(ReadInPieces(cut_off, prefix, prefix.size(), 1).status == ReadStatus::kNeedMore,
           "a response that was cut is not complete");
     Check(cut_off.ReadEnd() != ReadStatus::kComplete, "a connection's end does not complete a cut response");
--- a/src/libgateway/platform_codec_test.cpp
+++ b/src/libgateway/platform_codec_test.cpp
@@ -6,7 +6,6 @@
 // clang-format on
 
 namespace pimentomoor {
-namespace {
 
 TEST_GROUP(PlatformCodec){};
 
@@ -32,5 +31,4 @@
   CHECK_THROWS(FormatError, static_cast<void>(MakePlatformCodec()->ParseRouting(payload)));
 }
 
-}  // namespace
 }  // namespace pimentomoor
