Add a stand-in of the gateway's platform and its load

Cause: the gateway could be shown and tested only with programs from outside the project. Change: pimentomoor_gateway_standin. `serve` offers a store (pages, watches, 410, 503, silence), ten services of two searchers each with instance ids, slots, stamps and faults on request, and a routing table with a gather, a safe and an unsafe route. `load` asks the directory, keeps connections and checks each answer against what the searchers make; it exits with 1 after a wrong answer or an unsafe request that ran twice. Limits: a reset closes the searcher's connections in order, since CallerServer offers no abort; an extra response is sent ahead of the next answer and in the same write.

--- /dev/null
+++ b/src/testsuite/gateway_standin_main.cpp
@@ -0,0 +1,140 @@
+// Program pimentomoor_gateway_standin: `serve` runs the gateway's platform on loopback, `load` sends requests to
+// gateway daemons and checks the answers.
+//
+// Admin calls of `serve`: /store?mode=ok|unavailable|silent|drop-history, /table?version=N, /counters?prefix=PREFIX
+// (of request ids), /searcher?name=PREFIX&fault=none|pause|fail|reset|lose|extra|gone|drain&count=N&ms=N.
+#include <tclap/CmdLine.h>
+
+#include "gateway_load.h"
+#include "pimentomoor/platform_codec.h"
+#include "program_main.h"
+
+namespace pimentomoor {
+namespace {
+
+std::string Address(unsigned port) { return "127.0.0.1:" + std::to_string(port); }
+
+class Standin {
+ public:
+  Standin(EventLoop& loop, const FieldNames& names, unsigned port)
+      : store_(loop, metrics_, names, Address(port)),
+        admin_(loop, metrics_, names, {.address = Address(port + 1)}, [this](const auto& call) { Handle(*call); }) {
+    for (const std::string service :
+         {"fetch", "order", "pages-0", "pages-1", "pages-2", "pages-3", "pages-4", "pages-5", "pages-6", "pages-7"}) {
+      for (const std::string replica : {"a", "b"}) {
+        const auto offset = static_cast<unsigned>(searchers_.size());
+        searchers_.push_back(
+            std::make_unique<GatewaySearcher>(loop, metrics_, store_, service, replica, Address(port + 2 + offset)));
+      }
+    }
+    store_.Change("config", "main", MakeGatewayTable("1"));
+  }
+
+ private:
+  void Handle(CallerExchange& call) {
+    const std::string path(call.request.path());
+    const std::string query = call.request.target.substr(std::min(path.size() + 1, call.request.target.size()));
+    const auto index = [&query](const char* key, const std::vector<std::string>& values) {
+      return static_cast<std::size_t>(std::find(values.begin(), values.end(), QueryParameter(query, key)) -
+                                      values.begin());
+    };
+    const auto number = [&query](const char* key) { return std::atoi(QueryParameter(query, key).c_str()); };
+    const std::size_t mode = index("mode", {"ok", "unavailable", "silent", "drop-history"});
+    const std::size_t fault = index("fault", {"none", "pause", "fail", "reset", "lose", "extra", "gone", "drain"});
+    OutgoingResponse response;
+    if (path == "/store" && mode == 3) {
+      store_.DropHistory();
+    } else if (path == "/store" && mode < 3) {
+      store_.SetMode(static_cast<GatewayStore::Mode>(mode));
+    } else if (path == "/table") {
+      store_.Change("config", "main", MakeGatewayTable(QueryParameter(query, "version")));
+    } else if (path == "/searcher" && fault <= static_cast<std::size_t>(SearcherFault::kDrain)) {
+      for (const auto& searcher : searchers_) {
+        if (searcher->id().starts_with(QueryParameter(query, "name"))) {
+          searcher->SetFault(static_cast<SearcherFault>(fault), static_cast<unsigned>(number("count")),
+                             std::chrono::milliseconds(number("ms")));
+        }
+      }
+    } else if (path == "/counters") {
+      response.body = Counters(QueryParameter(query, "prefix"));
+    } else {
+      response.status = 400;
+    }
+    call.Respond(response);
+  }
+
+  std::string Counters(const std::string& prefix) const {
+    std::map<std::string, unsigned> unsafe_runs;
+    unsigned spoilt = 0, late = 0, repeated = 0;
+    for (const auto& searcher : searchers_) {
+      spoilt += searcher->spoilt();
+      late += searcher->arrivals_after_drain();
+      for (const auto& [id, count] : searcher->runs()) {
+        repeated += id.starts_with(prefix) && searcher->id().starts_with("order") && (unsafe_runs[id] += count) > 1;
+      }
+    }
+    return "{\"repeated_unsafe\":" + std::to_string(repeated) + ",\"spoilt\":" + std::to_string(spoilt) +
+           ",\"arrivals_after_drain\":" + std::to_string(late) + "}\n";
+  }
+
+  Metrics metrics_;
+  GatewayStore store_;
+  std::vector<std::unique_ptr<GatewaySearcher>> searchers_;
+  CallerServer admin_;
+};
+
+int RunLoad(EventLoop& loop, const FieldNames& names, const std::string& admin_address,
+            const GatewayLoadOptions& options) {
+  GatewayLoad load(loop, options);
+  if (!loop.RunUntil([&load] { return load.done(); }, options.duration + std::chrono::seconds(20))) {
+    throw std::runtime_error("run load: no directory answers, or requests stay unfinished");
+  }
+  KeptHttpClient admin(loop, names, admin_address);
+  std::optional<ResponseMessage> counters;
+  admin.Get("/counters?prefix=" + options.prefix, std::chrono::seconds(2), [&](auto answer) { counters = answer; });
+  if (!loop.RunUntil([&counters] { return counters.has_value(); }, std::chrono::seconds(3))) {
+    throw std::runtime_error("read the searchers' counters: no answer from " + admin_address);
+  }
+  const auto repeated = RequireCount(ParseJson(counters->body, "counters"), "repeated_unsafe");
+  std::cout << "{" << load.Report() << ",\"repeated_unsafe\":" << repeated << "}\n";
+  return load.wrong() || repeated > 0 ? 1 : 0;
+}
+
+int Run(int argc, char** argv) {
+  using Names = TCLAP::MultiArg<std::string>;
+  TCLAP::CmdLine line("The gateway's platform on loopback, and its load.", ' ', "0.1.0");
+  TCLAP::UnlabeledValueArg<std::string> mode("mode", "What to run.", true, "", "serve|load", line);
+  TCLAP::ValueArg<unsigned> port("", "port", "Store; admin and searchers follow.", false, 21'000, "PORT", line);
+  TCLAP::ValueArg<unsigned> seconds("", "seconds", "Run time.", false, 600, "N", line);
+  Names directories("", "directory", "Directory of a daemon.", false, "IP:port", line);
+  Names routes("", "route", "pages, fetch or order; without it all.", false, "NAME", line);
+  TCLAP::ValueArg<double> rate("", "rate", "Requests per second.", false, 100, "N", line);
+  line.parse(argc, argv);
+  const SystemClock clock;
+  EventLoop loop(clock);
+  const auto codec = MakePlatformCodec();
+  if (mode.getValue() == "serve") {
+    const Standin standin(loop, codec->field_names(), port.getValue());
+    loop.OnTerminate([&loop] { loop.Stop(); });
+    loop.CallAfter(std::chrono::seconds(seconds.getValue()), [&loop] { loop.Stop(); });
+    loop.Run();
+    return 0;
+  }
+  if (mode.getValue() != "load" || directories.getValue().empty()) {
+    throw std::invalid_argument("run load: give the mode load and at least one --directory");
+  }
+  const std::vector<std::string> all{"pages", "fetch", "pages", "order"};
+  return RunLoad(loop, codec->field_names(), Address(port.getValue() + 1),
+                 {.directories = directories.getValue(),
+                  .routes = routes.isSet() ? routes.getValue() : all,
+                  .prefix = "load-" + std::to_string(std::random_device()()),
+                  .rate = rate.getValue(),
+                  .duration = std::chrono::seconds(seconds.getValue())});
+}
+
+}  // namespace
+}  // namespace pimentomoor
+
+int main(int argc, char** argv) {
+  return pimentomoor::RunProgram("pimentomoor_gateway_standin", [&] { return pimentomoor::Run(argc, argv); });
+}
--- /dev/null
+++ b/src/testsuite/gateway_store.h
@@ -0,0 +1,143 @@
+// Stand-in of the platform's store on one loopback address: objects by kind in pages, watches, and faults. One
+// revision counts the changes of all kinds.
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "pimentomoor/caller_server.h"
+#include "pimentomoor/http.h"
+#include "pimentomoor/json_text.h"
+
+namespace pimentomoor {
+
+class GatewayStore {
+ public:
+  enum class Mode { kNormal, kUnavailable, kSilent };
+
+  GatewayStore(EventLoop& loop, Metrics& metrics, const FieldNames& names, const std::string& address)
+      : loop_(loop),
+        server_(loop, metrics, names, {.address = address}, [this](const auto& call) { Handle(call); }) {}
+
+  /// Creates, replaces or deletes an object; `spec` is JSON and isn't checked.
+  void Change(const std::string& kind, const std::string& name, const std::string& spec, bool deleted = false) {
+    const std::string object = "{\"meta\":{\"name\":" + JsonQuote(name) + ",\"rev\":" + std::to_string(++revision_) +
+                               "},\"spec\":" + spec + "}";
+    if (deleted) {
+      objects_[kind].erase(name);
+    } else {
+      objects_[kind][name] = object;
+    }
+    history_[kind][revision_] = "{\"object\":" + object + ",\"deleted\":" + (deleted ? "true}" : "false}");
+    std::erase_if(watches_, [&](const auto& entry) { return RespondWatch(entry.second, false); });
+  }
+
+  /// kUnavailable answers 503; kSilent never answers the calls that are open or arrive meanwhile.
+  void SetMode(Mode mode) {
+    mode_ = mode;
+    for (const auto& [id, watch] : watches_) {
+      unanswered_.push_back(watch.exchange);
+    }
+    watches_.clear();
+  }
+
+  /// Watches from earlier revisions get 410. Those that wait already miss the changes that follow, without an error.
+  void DropHistory() {
+    history_.clear();
+    history_from_ = ++revision_;
+    for (auto& [id, watch] : watches_) {
+      watch.misses_changes = true;
+    }
+  }
+
+ private:
+  static constexpr std::string_view kPath = "/api/objects/";
+  static constexpr std::size_t kPageSize = 50;
+
+  struct Watch {
+    std::shared_ptr<CallerExchange> exchange;
+    std::string kind;
+    std::uint64_t after = 0;
+    bool misses_changes = false;
+  };
+
+  // Answers a watch that has events, or when its wait has passed.
+  bool RespondWatch(const Watch& watch, bool wait_over) {
+    std::string events;
+    const auto& changes = history_[watch.kind];
+    for (auto next = changes.upper_bound(watch.after); !watch.misses_changes && next != changes.end(); ++next) {
+      events += (events.empty() ? "" : ",") + next->second;
+    }
+    if (events.empty() && !wait_over) {
+      return false;
+    }
+    // A watch that missed changes keeps its revision, so that the next one from there gets 410.
+    const std::uint64_t revision = watch.misses_changes ? watch.after : revision_;
+    watch.exchange->Respond(
+        {.body = "{\"events\":[" + events + R"(],"store-revision":)" + std::to_string(revision) + "}"});
+    return true;
+  }
+
+  void Handle(const std::shared_ptr<CallerExchange>& exchange) {
+    const RequestMessage& request = exchange->request;
+    if (mode_ == Mode::kSilent) {
+      unanswered_.push_back(exchange);
+      return;
+    }
+    if (mode_ == Mode::kUnavailable || !request.path().starts_with(kPath)) {
+      exchange->Respond({.status = mode_ == Mode::kUnavailable ? 503 : 404});
+      return;
+    }
+    const std::string path(request.path().substr(kPath.size()));
+    const std::string kind = path.substr(0, path.find('/'));
+    const std::string query = request.target.substr(std::min(request.path().size() + 1, request.target.size()));
+    if (request.method != "GET") {
+      const bool deleted = request.method == "DELETE";
+      Change(kind, path.substr(std::min(kind.size() + 1, path.size())), deleted ? "null" : request.body, deleted);
+      exchange->Respond({});
+    } else if (const std::string after = QueryParameter(query, "watch"); !after.empty()) {
+      StartWatch({.exchange = exchange, .kind = kind, .after = std::stoull(after)},
+                 std::chrono::milliseconds(std::atoi(QueryParameter(query, "wait-ms").c_str())));
+    } else {
+      const auto& objects = objects_[kind];
+      std::string items;
+      auto next = objects.upper_bound(QueryParameter(query, "after"));
+      for (std::size_t i = 0; i < kPageSize && next != objects.end(); ++i, ++next) {
+        items += (items.empty() ? "" : ",") + next->second;
+      }
+      exchange->Respond({.body = "{\"items\":[" + items + R"(],"has-more":)" +
+                                 (next == objects.end() ? "false" : "true") + R"(,"store-revision":)" +
+                                 std::to_string(revision_) + "}"});
+    }
+  }
+
+  void StartWatch(const Watch& watch, Duration wait) {
+    if (watch.after < history_from_) {
+      watch.exchange->Respond({.status = 410});
+    } else if (!RespondWatch(watch, false)) {
+      const std::uint64_t id = next_watch_++;
+      watches_[id] = watch;
+      loop_.CallAfter(wait, [this, id] {
+        std::erase_if(watches_,
+                      [&](const auto& entry) { return entry.first == id && RespondWatch(entry.second, true); });
+      });
+    }
+  }
+
+  EventLoop& loop_;
+  Mode mode_ = Mode::kNormal;
+  std::uint64_t revision_ = 1;
+  std::uint64_t history_from_ = 1;                                       // earlier watches get 410
+  std::map<std::string, std::map<std::string, std::string>> objects_;    // JSON by kind and name
+  std::map<std::string, std::map<std::uint64_t, std::string>> history_;  // JSON by kind and revision
+  std::map<std::uint64_t, Watch> watches_;
+  std::uint64_t next_watch_ = 1;
+  std::vector<std::shared_ptr<CallerExchange>> unanswered_;
+  CallerServer server_;
+};
+
+}  // namespace pimentomoor
