Test the gateway's failure bounds with real processes and show it in the demo

Cause: the bounds of docs/platform.md, section 3, had no test with real daemons in this project. Change: gateway_test.sh runs three daemons on the stand-in: SIGKILL and SIGTERM under load, silent store, lost history, draining searcher, lost answers and closed connections on the unsafe route, extra responses, searchers that are away, restart of all daemons, wrong settings. test.sh runs it and adds its counts; demo.sh shows the gateway. The tests now pause all searchers before the signal, so that each daemon holds requests.

--- a/demo.sh
+++ b/demo.sh
@@ -1,14 +1,16 @@
 #!/usr/bin/env bash
 # Builds pimentomoor and runs a whole deployment on loopback: six daemons with stand-ins for platform and searchers.
-# Prints one answer, one operation, a status table and a short load report, then stops everything: ./demo.sh
+# Prints one answer, one operation, a status table and a short load report; then the same for three gateway daemons on
+# a stand-in of the users' platform. Stops everything at the end: ./demo.sh
 set -euo pipefail
 cd "$(dirname "$0")"
 if ! command -v cmake >/dev/null || ! pkg-config --exists libh2o-evloop 2>/dev/null; then
   grep -v '^#' packages.txt | xargs apt-get install -y -q
 fi
 cmake -S . -B build -G Ninja >/dev/null
-cmake --build build --target pimentomoor pimentomoor_standin pimentomoor_load
+cmake --build build --target pimentomoor pimentomoor_standin pimentomoor_load pimentomoor_gateway_standin
 . src/testsuite/cluster.sh
+. src/testsuite/gateway_cluster.sh
 deployment=src/testsuite/deployments/quiroga.yaml
 trap cluster_stop EXIT
 rm -rf .demo
@@ -29,3 +31,11 @@
 echo; echo "== 5 s of load, 200 queries/s over all services, each answer checked"
 build/pimentomoor_load --entry "$entry" --deployment "$deployment" --rate 200 --seconds 5 \
   --searchers-admin "$CLUSTER_ADMIN"
+cluster_stop
+gateway_start .demo
+echo; echo "== gateway, where to connect: GET /api/resolve"
+gateway_resolve 1
+echo; echo "== gateway, the ten greatest records of eight shards: GET /pages"
+gateway_get 1 pages?q=bull -D - | head -c 700 | tr -c '[:print:]\n' '.'
+echo; echo "== gateway, 5 s of load, 200 requests/s over three routes, each answer checked"
+gateway_load --rate 200 --seconds 5
--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Builds pimentomoor and runs every test: the unit and property tests under AddressSanitizer and UBSan, then the failure
-# tests with real processes on the release build. Closes with the counts: ./test.sh [sanitizer build folder]
+# tests of the query tier and the gateway with real processes on the release build. Closes with the counts:
+# ./test.sh [sanitizer build folder]
 set -euo pipefail
 cd "$(dirname "$0")"
 sanitized="${1:-build-asan}"
@@ -16,5 +17,7 @@
 unit="$(grep -oE '[0-9]+ ran' "$results" | tail -1 | cut -d' ' -f1)"
 CLUSTER_BUILD=build src/testsuite/process_test.sh 2>&1 | tee "$results"
 process="$(grep -oE '^[0-9]+ passed' "$results" | cut -d' ' -f1)"
+CLUSTER_BUILD=build src/testsuite/gateway_test.sh 2>&1 | tee "$results"
+gateway="$(grep -oE '^[0-9]+ passed' "$results" | cut -d' ' -f1)"
 echo
-echo "$((unit + process)) passed, 0 failed"
+echo "$((unit + process + gateway)) passed, 0 failed"
