--- /dev/null
+++ b/src/testsuite/bench_gateway.cpp
@@ -0,0 +1,163 @@
+// Cost of the gateway for each part of a query and for a forwarded request. The searchers of this measurement answer
+// fixed bytes without reading the request, so their share of the processor time is two system calls for each part.
+#include <deque>
+#include <memory>
+
+#include "bench_parts.h"
+#include "pimentomoor/platform_codec.h"
+#include "pimentomoor/request_run.h"
+
+namespace pimentomoor {
+
+namespace {
+
+constexpr int kRuns = 5;
+constexpr int kQueriesPerRun = 40;
+constexpr std::size_t kRecordsPerPart = 12;
+
+class FixedSearcher {
+ public:
+  explicit FixedSearcher(EventLoop& loop)
+      : loop_(loop), listener_(loop, "127.0.0.1:0", [this](int fd) { connections_.emplace_back(loop_, fd); }) {}
+
+  [[nodiscard]] std::string address() const { return listener_.address(); }
+
+ private:
+  struct Connection final : TcpStreamHandler {
+    Connection(EventLoop& loop, int fd) : stream(std::make_unique<TcpStream>(loop, fd, *this)) {}
+    void OnData(std::string_view /*bytes*/) override {
+      static const std::string response =
+          "HTTP/1.1 200 OK\r\nX-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: " +
+          std::to_string(kRecordsPerPart * kRecordBytes) + "\r\n\r\n" +
+          std::string(kRecordsPerPart * kRecordBytes, 'r');
+      stream->Write(response);
+    }
+    void OnEnd(StreamEnd /*end*/) override { stream.reset(); }
+    static constexpr std::size_t kRecordBytes = 16;
+    std::unique_ptr<TcpStream> stream;
+  };
+
+  EventLoop& loop_;
+  std::deque<Connection> connections_;
+  TcpListener listener_;
+};
+
+// A gateway's request path over `parts` shards of one searcher each.
+class GatewayBench {
+ public:
+  explicit GatewayBench(std::size_t parts, bool gather)
+      : codec_(MakePlatformCodec()),
+        upstreams_({.loop = loop_, .metrics = metrics_, .names = codec_->field_names(), .failure_domain = "a"}, {},
+                   {}),
+        crashes_(1),
+        runs_{.loop = loop_,
+              .metrics = metrics_,
+              .names = codec_->field_names(),
+              .upstreams = upstreams_,
+              .crashes = crashes_} {
+    RouteSpec route{.name = "bench", .host = "bench", .prefix = "/", .idempotent = true};
+    route.objective = std::chrono::seconds(20);  // no hedge and no early answer while it is measured
+    route.timeout = std::chrono::seconds(60);
+    route.top_records = 10;
+    RoutingTableSpec spec{.version = 1};
+    for (std::size_t i = 0; i < parts; ++i) {
+      const std::string service = "shard-" + std::to_string(i);
+      searchers_.push_back(std::make_unique<FixedSearcher>(loop_));
+      spec.services.push_back({.name = service, .max_connections = 30});
+      upstreams_.Announce({.id = "id-" + std::to_string(i),
+                           .service = service,
+                           .address = searchers_.back()->address(),
+                           .failure_domain = "a",
+                           .slots = 3});
+      if (gather) {
+        route.shards.push_back(service);
+      } else {
+        route.targets = {{.service = service}};
+      }
+    }
+    spec.routes.push_back(route);
+    upstreams_.ApplyServices(spec.services);
+    table_ = std::make_shared<RoutingTable>(std::move(spec));
+    Query();  // opens the connections
+  }
+
+  std::shared_ptr<CallerExchange> Start() {
+    RequestMessage message{.method = "GET", .target = "/q", .host = "bench", .request_id = "0123456789abcdef"};
+    message.forward_fields = "Host: bench\r\n";
+    auto caller = std::make_shared<CallerExchange>(nullptr, std::move(message), loop_.Now(), false);
+    std::make_shared<RequestRun>(runs_, caller, table_, table_->spec().routes.front())->Start();
+    return caller;
+  }
+
+  void Finish(const std::shared_ptr<CallerExchange>& caller) {
+    const std::size_t started = ++queries_;
+    if (!loop_.RunUntil([&] { return Answered() >= started; }, std::chrono::seconds(10))) {
+      throw std::runtime_error("measure gateway: query unanswered after 10 s");
+    }
+    caller->on_gone = nullptr;  // no connection ends the exchange here
+  }
+
+  void Query() { Finish(Start()); }
+
+ private:
+  [[nodiscard]] std::uint64_t Answered() const {
+    return metrics_.counter("pimentomoor_run_answers_total", "outcome=\"whole\"") +
+           metrics_.counter("pimentomoor_run_answers_total", "outcome=\"forwarded\"");
+  }
+
+  SystemClock clock_;
+  EventLoop loop_{clock_};
+  Metrics metrics_;
+  std::unique_ptr<PlatformCodec> codec_;
+  std::vector<std::unique_ptr<FixedSearcher>> searchers_;
+  UpstreamSet upstreams_;
+  CrashReports crashes_;
+  RunContext runs_;
+  std::shared_ptr<const RoutingTable> table_;
+  std::size_t queries_ = 0;
+};
+
+double CpuPerQuery(GatewayBench& bench) {
+  const double before = CpuMicroseconds();
+  for (int i = 0; i < kQueriesPerRun; ++i) {
+    bench.Query();
+  }
+  return (CpuMicroseconds() - before) / kQueriesPerRun;
+}
+
+double HeapPerQuery(GatewayBench& bench) {
+  const double before = HeapBytes();
+  const auto caller = bench.Start();
+  const double held = HeapBytes() - before;
+  bench.Finish(caller);
+  return held;
+}
+
+}  // namespace
+
+void MeasureGateway(BenchReport& report) {
+  const std::vector<std::size_t> sizes = {20, 50, 90, 700};
+  report.figures.push_back({.part = "gateway",
+                            .name = "CPU per gather, fixed searchers included, us",
+                            .sizes = "parts",
+                            .points = MeasureSizes(sizes, kRuns, [](std::size_t parts) {
+                              GatewayBench bench(parts, true);
+                              return CpuPerQuery(bench);
+                            })});
+  report.figures.push_back({.part = "gateway",
+                            .name = "heap per gather in flight, bytes",
+                            .sizes = "parts",
+                            .points = MeasureSizes(sizes, 3, [](std::size_t parts) {
+                              GatewayBench bench(parts, true);
+                              return HeapPerQuery(bench);
+                            })});
+  report.figures.push_back({.part = "gateway",
+                            .name = "CPU per forwarded request, fixed searcher included, us",
+                            .sizes = "searchers",
+                            .points = MeasureSizes({1}, kRuns, [](std::size_t parts) {
+                              GatewayBench bench(parts, false);
+                              return CpuPerQuery(bench);
+                            })});
+}
+
+}  // namespace pimentomoor
--- a/src/testsuite/bench_main.cpp
+++ b/src/testsuite/bench_main.cpp
@@ -41,6 +41,7 @@
     pimentomoor::MeasureTransport(report);
     pimentomoor::MeasureControl(report);
     pimentomoor::MeasureOnce(report);
+    pimentomoor::MeasureGateway(report);
     std::cout << (json.getValue() ? pimentomoor::ReportJson(report) : pimentomoor::ReportMarkdown(report));
     return 0;
   });
--- a/src/testsuite/bench_parts.h
+++ b/src/testsuite/bench_parts.h
@@ -38,6 +38,7 @@
 void MeasureTransport(BenchReport& report);
 void MeasureControl(BenchReport& report);
 void MeasureOnce(BenchReport& report);
+void MeasureGateway(BenchReport& report);
 
 /// A fixed load for a profiler: this many queries over 700 shards, or bursts of 700 sub-queries, without a report.
 constexpr int kProfileRounds = 20;
