Spread the shares of searchers evenly over the daemons

Cause: the share of the daemon at position p began at searcher p, so that the shares of daemons with several searchers overlapped at the low indexes. With 2 daemons, 4 searchers and 1 connection each, searcher 1 had two senders where `senders` says one, and searcher 3 had none. Change: the share begins at p x count, so that the shares follow each other around the searchers. New property test SenderSet.SearchersAndSendersAreEvenlyShared. Conclusion: no searcher has more senders than `senders`, and the numbers of senders differ by at most one.

--- a/src/include/pimentomoor/sender_set.h
+++ b/src/include/pimentomoor/sender_set.h
@@ -1,7 +1,7 @@
 // Which daemons send to which searchers of a service when the searchers do not take connections from all of them.
 //
-// The daemons stand in an order that is drawn for each service; the one at position p sends to the searchers at
-// p, p + 1, ... of the service. So every daemon has the same number of searchers, and every searcher the same number
+// The daemons stand in an order that is drawn for each service; the one at position p sends to the c searchers that
+// begin at p * c, counted around. So every daemon has the same number of searchers, and every searcher the same number
 // of daemons, up to one. While the searchers take connections from all daemons, the set is all of them.
 #pragma once
 
@@ -14,7 +14,7 @@
 
 /// The searchers of one service that a daemon sends to.
 struct SenderShare {
-  std::size_t first = 0;    // position of the daemon
+  std::size_t first = 0;    // index of the first searcher, before counting around
   std::size_t count = 0;    // searchers that it sends to
   std::size_t senders = 1;  // daemons that send to one searcher, at most
 
--- a/src/libroute/sender_set.cpp
+++ b/src/libroute/sender_set.cpp
@@ -36,7 +36,8 @@
   const auto position = static_cast<std::size_t>(std::count_if(
       others.begin(), others.end(), [&](const std::string& other) { return HashPair(service, other) < own; }));
   const std::size_t count = std::clamp<std::size_t>(connections * searchers / daemons, 1, searchers);
-  return {.first = position, .count = count, .senders = (daemons * count + searchers - 1) / searchers};
+  // The shares follow each other around the searchers, so that they overlap evenly.
+  return {.first = position * count, .count = count, .senders = (daemons * count + searchers - 1) / searchers};
 }
 
 bool IsInShare(const SenderShare& share, std::size_t index, std::size_t searchers) {
--- /dev/null
+++ b/src/libroute/sender_set_test.cpp
@@ -0,0 +1,57 @@
+// Tests of the sets of senders.
+#include "pimentomoor/sender_set.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "property.h"
+
+// CppUTest's macros come last, because they redefine names that other headers use.
+#include <CppUTest/TestHarness.h>
+
+namespace pimentomoor {
+
+TEST_GROUP(SenderSet){};
+
+// Guards against a searcher that refuses connections because it has more senders than divide its connections, a
+// searcher without any sender, and a daemon that has nowhere to send.
+TEST(SenderSet, SearchersAndSendersAreEvenlyShared) {
+  CHECK(CheckProperty(2'000, "senders are evenly shared", [] {
+    const auto daemons = *rc::gen::inRange<std::size_t>(1, 70);
+    const auto searchers = *rc::gen::inRange<std::size_t>(1, 25);
+    const auto connections = *rc::gen::inRange<std::size_t>(1, 60);
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; i < daemons; ++i) {
+      addresses.push_back("10.0." + std::to_string(i) + ".1:80");
+    }
+    std::vector<std::size_t> senders(searchers);
+    std::size_t allowed = 0;
+    for (const auto& self : addresses) {
+      std::vector<std::string> others = addresses;
+      std::erase(others, self);
+      const SenderShare share = ShareOfSearchers("service", self, others, searchers, connections);
+      allowed = share.senders;
+      std::size_t own = 0;
+      for (std::size_t i = 0; i < searchers; ++i) {
+        own += IsInShare(share, i, searchers) ? 1 : 0;
+        senders[i] += IsInShare(share, i, searchers) ? 1 : 0;
+      }
+      RC_ASSERT(own >= 1U);
+      RC_ASSERT(own == share.count);
+    }
+    RC_ASSERT(*std::ranges::max_element(senders) <= allowed);
+    RC_ASSERT(*std::ranges::max_element(senders) - *std::ranges::min_element(senders) <= 1U);
+    // With one searcher for each daemon the limit can't be kept when there are too many daemons.
+    RC_ASSERT(allowed <= std::max(connections, (daemons + searchers - 1) / searchers));
+  }));
+}
+
+// Guards against a division by the number of searchers while a service has none.
+TEST(SenderSet, ServiceWithoutSearchers) {
+  const SenderShare share = ShareOfSearchers("service", "a", std::vector<std::string>{"b", "c"}, 0, 1);
+  LONGS_EQUAL(0, share.count);
+  CHECK_FALSE(IsInShare(share, 0, 0));
+}
+
+}  // namespace pimentomoor
