Build the message readers under the sanitizers

Cause: GCC with -fsanitize=address,undefined reports boost::optional inside Beast's parser as maybe uninitialized, which is an error under -Werror; the sanitized build of http1_message.cpp failed. Change: this warning is off in this file, for GCC with AddressSanitizer only. The release build keeps it. Run: the sanitized build of libpimentomoor_net.a failed before the change and succeeds after it. Conclusion: the tests can be built under the sanitizers again.

--- a/src/libnet/http1_message.cpp
+++ b/src/libnet/http1_message.cpp
@@ -1,6 +1,12 @@
 // Implementation of the message readers.
 #include "pimentomoor/http1_message.h"
 
+// GCC reports the value of an empty boost::optional inside Beast's parser as maybe uninitialized, in code that the
+// sanitizers have instrumented only.
+#if defined(__GNUC__) && !defined(__clang__) && defined(__SANITIZE_ADDRESS__)
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
+
 #include <algorithm>
 #include <array>
 #include <boost/beast/http/basic_parser.hpp>
