--- /dev/null
+++ b/src/libroute/top_records_test.cpp
@@ -0,0 +1,37 @@
+// Tests of the merge of records.
+#include "pimentomoor/top_records.h"
+
+#include "property.h"
+
+// CppUTest's macros come last, because they redefine names that other headers use.
+#include <CppUTest/TestHarness.h>
+
+namespace pimentomoor {
+
+TEST_GROUP(TopRecords){};
+
+// Guards against a merged response that lacks a record, repeats one, compares bytes above 127 as negative numbers, or
+// reads a truncated record: parts hold equal records, records that differ in the last byte, and remainders.
+TEST(TopRecords, MergeEqualsNaiveMerge) {
+  CHECK(CheckProperty(3'000, "merge equals naive merge", [] {
+    const auto limit = *rc::gen::inRange<std::size_t>(0, 12);
+    const auto parts = *rc::gen::inRange(0, 6);
+    TopRecords merged(limit);
+    std::vector<std::string> all;
+    for (int i = 0; i < parts; ++i) {
+      std::string part;
+      const auto records = *rc::gen::inRange(0, 6);
+      for (int j = 0; j < records; ++j) {
+        std::string record(kRecordBytes, *rc::gen::element('\x00', '\x7f', '\x80', '\xff'));
+        record.back() = *rc::gen::element('a', '\xfe', '\xff');
+        part += record;
+      }
+      part += std::string(*rc::gen::inRange<std::size_t>(0, kRecordBytes), '\xff');
+      merged.Add(part);
+      all.push_back(part);
+    }
+    RC_ASSERT(merged.Merge() == MergeRecordsNaive(all, limit));
+  }));
+}
+
+}  // namespace pimentomoor
