Ignore older copies of objects that a peer sends

Cause: a peer's list can begin before the own revision and hold newer objects of its last pages, or its answer can be late. Adopt() then replaced newer objects by older ones, dropped objects that the peer did not know yet and brought deleted ones back; later answers leave them out as unchanged. Change: of such an answer, only objects newer than the own revision are taken and nothing is removed. Objects newer than the answer stay. New tests of RecordFeed and KeptHttpClient against a store on loopback: pages, watch, 410, 503, silence, lost, unreadable and truncated answers, closed connections and extra bytes. Conclusion: objects taken from peers do not revert.

--- a/src/libgateway/record_feed.cpp
+++ b/src/libgateway/record_feed.cpp
@@ -199,10 +199,25 @@
     return;
   }
   metrics_.Count("pimentomoor_store_adopted_total");
+  // A peer's list can begin before revision_ and still hold newer objects of its last pages. Such a list says nothing
+  // about what else exists at revision_.
+  const bool older = delta.store_revision < revision_;
   for (const auto& record : delta.changed) {
-    Put(record);
+    const auto held = records_.find(record.name);
+    const std::uint64_t known = std::max(older ? revision_ : 0, held == records_.end() ? 0 : held->second.revision);
+    if (record.revision > known) {
+      Put(record);
+    }
+  }
+  if (!older) {
+    std::vector<std::string> names = delta.names;
+    for (const auto& [name, record] : records_) {
+      if (record.revision > delta.store_revision) {
+        names.push_back(name);  // newer than what the peer tells
+      }
+    }
+    RemoveAllExcept(names);
   }
-  RemoveAllExcept(delta.names);
   revision_ = std::max(revision_, delta.store_revision);
   content_revision_ = std::max(content_revision_, delta.content_revision);
   listing_ = false;
--- /dev/null
+++ b/src/libgateway/record_feed_test.cpp
@@ -0,0 +1,203 @@
+// Tests of the feed of objects and of its client against a store on loopback whose answers the test writes.
+#include "pimentomoor/record_feed.h"
+
+#include "pimentomoor/tcp_stream.h"
+#include "test_loop.h"
+
+// CppUTest's macros come last, because they redefine names that other headers use.
+#include <CppUTest/TestHarness.h>
+
+namespace pimentomoor {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string Ok(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+std::string Object(const std::string& name, int revision) {
+  return R"({"meta":{"name":")" + name + R"(","rev":)" + std::to_string(revision) + R"(},"spec":{}})";
+}
+std::string Page(const std::string& items, int revision, bool more = false) {
+  return Ok(R"({"items":[)" + items + R"(],"has-more":)" + (more ? "true" : "false") + R"(,"store-revision":)" +
+            std::to_string(revision) + "}");
+}
+std::string Events(const std::string& events, int revision) {
+  return Ok(R"({"events":[)" + events + R"(],"store-revision":)" + std::to_string(revision) + "}");
+}
+
+constexpr char kClose = '\x01';
+
+// Answers each request with the bytes that `respond` returns for its target: none leaves it unanswered, and kClose at
+// the end closes the connection.
+struct FakeStore {
+  struct Connection final : TcpStreamHandler {
+    Connection(FakeStore& owner, int fd) : store(owner), stream(std::make_unique<TcpStream>(owner.loop, fd, *this)) {}
+    void OnData(std::string_view bytes) override {
+      RequestReader reader(store.names, {});
+      if (reader.Read(bytes) != ReadStatus::kComplete) {
+        return;  // the client's requests are small and arrive whole
+      }
+      store.targets.push_back(reader.message().target);
+      const std::string answer = store.respond(reader.message().target);
+      stream->Write(answer.substr(0, answer.find(kClose)));
+      if (answer.ends_with(kClose)) {
+        stream.reset();
+      }
+    }
+    void OnEnd(StreamEnd /*end*/) override { stream.reset(); }
+    FakeStore& store;
+    std::unique_ptr<TcpStream> stream;
+  };
+
+  EventLoop& loop;
+  const FieldNames& names;
+  std::function<std::string(const std::string& target)> respond{};
+  std::vector<std::string> targets{};
+  std::vector<std::unique_ptr<Connection>> connections{};
+  TcpListener listener{loop, "127.0.0.1:0",
+                       [this](int fd) { connections.push_back(std::make_unique<Connection>(*this, fd)); }};
+};
+
+}  // namespace
+
+TEST_GROUP(RecordFeed) {
+  ManualClock clock;
+  EventLoop loop{clock};
+  Metrics metrics;
+  std::unique_ptr<PlatformCodec> codec = MakePlatformCodec();
+  FakeStore store{loop, codec->field_names()};
+  std::vector<std::string> changes;
+  RecordFeed feed{loop,
+                  metrics,
+                  *codec,
+                  RecordKind::kUpstreams,
+                  store.listener.address(),
+                  {.on_put = [this](const StoredRecord& record) { changes.push_back("+" + record.name); },
+                   .on_delete = [this](const std::string& name) { changes.push_back("-" + name); },
+                   .on_batch = [] {},
+                   .on_health = [] {}},
+                  {.watch_wait = milliseconds(500), .watch_grace = milliseconds(200)}};
+
+  bool Wait(const std::function<bool()>& done) { return RunTurns(loop, clock, done, seconds(10)); }
+  std::string Names() const {
+    std::string names;
+    for (const auto& [name, record] : feed.records()) {
+      names += name + std::to_string(record.revision) + " ";
+    }
+    return names;
+  }
+  void Load() {
+    store.respond = [](const std::string& target) {
+      return target.find('?') == target.npos ? Page(Object("a", 3) + "," + Object("b", 4), 10) : "";
+    };
+    feed.SetSource(RecordFeed::Source::kWatch);
+    CHECK(Wait([this] { return store.targets.size() == 2; }));
+  }
+};
+
+// Guards against objects of later pages that are lost, and against a change that happens between two pages and is
+// missed because the watch begins at the revision of the last one.
+TEST(RecordFeed, ListsByPagesAndThenWatches) {
+  store.respond = [](const std::string& target) -> std::string {
+    if (target == "/api/objects/servers") {
+      return Page(Object("a", 3), 10, true);
+    }
+    if (target == "/api/objects/servers?after=a") {
+      return Page(Object("b", 12), 12);
+    }
+    return target == "/api/objects/servers?watch=10&wait-ms=500"
+               ? Events(R"({"object":)" + Object("a", 11) + R"(,"deleted":true},{"object":)" + Object("c", 13) + "}",
+                        13)
+               : "";
+  };
+  feed.SetSource(RecordFeed::Source::kWatch);
+  CHECK(Wait([this] { return store.targets.size() == 4; }));
+  STRCMP_EQUAL("/api/objects/servers?watch=13&wait-ms=500", store.targets.back().c_str());
+  CHECK((changes == std::vector<std::string>{"+a", "+b", "-a", "+c"}));
+  LONGS_EQUAL(13, feed.content_revision());
+  LONGS_EQUAL(1, store.connections.size());  // a new connection has a price
+}
+
+// Guards against objects that were deleted in the part of the history that the store has dropped.
+TEST(RecordFeed, ListsAgainWhenTheHistoryIsGone) {
+  Load();
+  store.respond = [](const std::string& target) {
+    return target.find('?') == target.npos ? Page(Object("b", 20), 20)
+                                           : "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
+  };
+  CHECK(Wait([this] { return feed.revision() == 20; }));
+  CHECK((changes == std::vector<std::string>{"+a", "+b", "+b", "-a"}));
+}
+
+// Guards against known objects that are dropped, or changes that are never learned, when a watch is refused, stays
+// unanswered, loses its answer or gets one that is unreadable or truncated.
+TEST(RecordFeed, KeepsObjectsThroughFailures) {
+  Load();
+  int revision = 10;
+  for (const std::string& failure :
+       {std::string("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), std::string(), std::string(1, kClose),
+        Ok("{\"events\":[{}"), Ok("[]"), Ok(R"({"events":[{"object":{}}],"store-revision":99})"),
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{") + kClose, std::string("garbage\r\n\r\n")}) {
+    store.respond = [&](const std::string&) { return failure; };
+    const std::size_t calls =
+        store.targets.size() + 3;  // the last follows a failure: a closed connection is tried twice
+    CHECK_TEXT(Wait([&] { return store.targets.size() >= calls; }) && feed.failing(), failure.c_str());
+    LONGS_EQUAL(2, feed.records().size());
+    ++revision;
+    store.respond = [&](const std::string& target) -> std::string {
+      return target.find("watch=" + std::to_string(revision - 1) + "&") != target.npos
+                 ? Events(R"({"object":)" + Object("a", revision) + "}", revision)
+                 : "";
+    };
+    CHECK_TEXT(Wait([&] { return feed.revision() == static_cast<std::uint64_t>(revision); }), failure.c_str());
+    CHECK_FALSE(feed.failing());
+  }
+  LONGS_EQUAL(2, feed.records().size());
+}
+
+// Guards against a table or a state of a searcher that reverts, and a deleted searcher that returns, because a peer
+// answers late or has listed the store while it changed.
+TEST(RecordFeed, OlderCopiesOfAPeerAreIgnored) {
+  const auto adopt = [this](std::uint64_t store_revision, std::uint64_t content_revision,
+                            std::vector<StoredRecord> changed, std::vector<std::string> names) {
+    feed.Adopt({store_revision, content_revision, std::move(changed), std::move(names)});
+    return Names();
+  };
+  CHECK((adopt(10, 9, {{"a", 9, ""}, {"b", 4, ""}}, {"a", "b"}) == "a9 b4 "));
+  CHECK((adopt(9, 8, {{"a", 8, ""}}, {"a"}) == "a9 b4 "));
+  // The peer's list began at revision 8; its last page shows a change of revision 11.
+  CHECK((adopt(8, 11, {{"a", 8, ""}, {"d", 7, ""}, {"e", 11, ""}}, {"a", "d", "e"}) == "a9 b4 e11 "));
+  CHECK((adopt(12, 12, {{"b", 12, ""}}, {"a", "b", "e"}) == "a9 b12 e11 "));
+  CHECK((adopt(13, 13, {}, {"b"}) == "b12 "));
+}
+
+// Guards against a kept connection that the server has closed and that fails the next call, against an endless
+// repetition, and against extra bytes that are taken for the next answer or a call that never ends.
+TEST(RecordFeed, ClientReplacesAClosedConnection) {
+  KeptHttpClient client(loop, codec->field_names(), store.listener.address());
+  std::optional<std::optional<ResponseMessage>> got;
+  const auto get = [&] {
+    got.reset();
+    client.Get("/x", seconds(1), [&](std::optional<ResponseMessage> response) { got = std::move(response); });
+    CHECK(Wait([&] { return got.has_value(); }));
+    return got->has_value() ? (*got)->body : "failed";
+  };
+  store.respond = [](const std::string&) { return Ok("1"); };
+  STRCMP_EQUAL("1", get().c_str());
+  store.connections.back()->stream.reset();
+  STRCMP_EQUAL("1", get().c_str());
+  LONGS_EQUAL(2, store.connections.size());
+  store.respond = [](const std::string&) { return std::string(1, kClose); };
+  const std::size_t before = store.targets.size();
+  STRCMP_EQUAL("failed", get().c_str());
+  LONGS_EQUAL(2, store.targets.size() - before);  // over the kept connection, then over a new one
+  store.respond = [](const std::string&) { return Ok("2") + Ok("extra"); };
+  STRCMP_EQUAL("2", get().c_str());
+  store.respond = [](const std::string&) { return std::string(); };
+  STRCMP_EQUAL("failed", get().c_str());
+}
+
+}  // namespace pimentomoor
