--- /dev/null
+++ b/src/libnet/http1_message_test.cpp
@@ -0,0 +1,200 @@
+// Tests of the readers of HTTP/1.1 messages: what is refused, where a message ends, and what is forwarded.
+#include "pimentomoor/http1_message.h"
+
+#include <vector>
+
+#include "pimentomoor/platform_codec.h"
+#include "property.h"
+
+// CppUTest's macros come last, because they redefine names that other headers use.
+#include <CppUTest/TestHarness.h>
+
+namespace pimentomoor {
+
+namespace {
+
+const FieldNames kNames = MakePlatformCodec()->field_names();
+constexpr MessageLimits kLimits = {.head_bytes = 512, .body_bytes = 64};
+
+std::string Text(const RequestMessage& m) {
+  return m.method + m.target + m.host + m.request_id + m.forward_fields + m.body + (m.keep_alive ? "k" : "");
+}
+std::string Text(const ResponseMessage& m) {
+  return std::to_string(m.status) + m.stamp + m.forward_fields + m.body + (m.keep_alive ? "k" : "") +
+         (m.not_run ? "n" : "") + std::to_string(m.cold_ms.value_or(0)) + std::to_string(m.keep_alive_s.value_or(0));
+}
+
+template <typename Message>
+struct Result {
+  ReadStatus status;
+  Message message;
+  std::string rest;  // unread bytes
+  ReadStatus end;    // after an orderly end of the connection
+};
+
+Result<RequestMessage> Read(std::string_view bytes) {
+  RequestReader reader(kNames, kLimits);
+  const ReadStatus status = reader.Read(bytes);
+  return {status, reader.message(), std::string(bytes), status};
+}
+
+Result<ResponseMessage> Answer(std::string_view bytes, bool head_request = false) {
+  ResponseReader reader(kNames, kLimits, head_request, true);
+  const ReadStatus status = reader.Read(bytes);
+  const std::string rest(bytes);
+  const ReadStatus end = status == ReadStatus::kNeedMore ? reader.ReadEnd() : status;
+  return {status, reader.message(), rest, end};
+}
+
+std::string Request(const std::string& fields, const std::string& body = "") {
+  return "POST /p?q=1 HTTP/1.1\r\nHost: A.example:80\r\n" + fields + "\r\n" + body;
+}
+
+// Delivers `bytes` in pieces as a connection does: what a reader leaves is passed again with the next piece.
+template <typename Reader>
+ReadStatus ReadInPieces(Reader& reader, const std::string& bytes, const std::vector<std::size_t>& sizes,
+                        std::string& rest) {
+  std::string pending;
+  std::size_t at = 0;
+  ReadStatus status = ReadStatus::kNeedMore;
+  for (std::size_t piece = 0; status == ReadStatus::kNeedMore && at < bytes.size(); ++piece) {
+    const std::string received = bytes.substr(at, sizes[piece % sizes.size()]);
+    at += received.size();
+    pending += received;
+    std::string_view view = pending;
+    status = reader.Read(view);
+    pending.erase(0, pending.size() - view.size());
+  }
+  rest = pending + bytes.substr(at);
+  return status;
+}
+
+}  // namespace
+
+TEST_GROUP(Http1Message){};
+
+// Guards against request smuggling: a body whose end, a host or an id that two servers read differently.
+TEST(Http1Message, AmbiguousRequestsAreRefused) {
+  for (const auto& bytes : {
+           Request("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"),
+           Request("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", "0\r\n\r\n"),
+           Request("Content-Length: 3\r\nContent-Length: 4\r\n", "abcd"),
+           Request("Content-Length: -1\r\n"),
+           Request("Content-Length: 3x\r\n", "abc"),
+           Request("Transfer-Encoding: gzip\r\n", "abc"),
+           Request("Transfer-Encoding: gzip, chunked\r\n", "0\r\n\r\n"),
+           Request("Transfer-Encoding: chunked, identity\r\n", "0\r\n\r\n"),
+           Request("Transfer-Encoding: chunked\r\n", "zz\r\n\r\n"),
+           Request("Host: b\r\n"),
+           Request("X-Request-Id: a\r\nx-request-id: a\r\n"),
+           Request("Content-Length : 0\r\n"),
+           std::string("GET / HTTP/1.1\r\n\r\n"),
+           std::string("GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n"),
+       }) {
+    CHECK_TEXT(Read(bytes).status == ReadStatus::kMalformed, bytes.c_str());
+  }
+}
+
+// Guards against fields of one connection that reach a searcher, fields that are lost or changed, a caller that sets
+// the fields of the tier, and a Connection field that removes the request id or the deadline.
+TEST(Http1Message, OnlyFieldsOfTheMessageAreForwarded) {
+  const auto read = Read(Request(
+      "A: 1\r\nConnection: x-hop, X-Request-Id, x-deadline-ms\r\nX-Hop: 1\r\nTE: trailers\r\nKeep-Alive: 1\r\n"
+      "A: 2\r\nX-Request-Id: id\r\nX-Deadline-Ms: 70\r\nX-Expect-Instance: i\r\nx-hop: 2\r\nX-Hops: 3\r\n"));
+  CHECK(read.status == ReadStatus::kComplete);
+  STRCMP_EQUAL("Host: A.example:80\r\nA: 1\r\nA: 2\r\nX-Hops: 3\r\n", read.message.forward_fields.c_str());
+  CHECK(read.message.request_id == "id" && read.message.deadline_ms == 70 && read.message.host == "a.example");
+  CHECK(read.message.target == "/p?q=1" && read.message.path() == "/p");
+}
+
+// Guards against memory that a caller can fill, with and without an announced length.
+TEST(Http1Message, OversizedRequestsAreRefused) {
+  CHECK(Read(Request("A: " + std::string(600, 'a') + "\r\n")).status == ReadStatus::kHeadTooLarge);
+  CHECK(Read("GET /" + std::string(600, 'a')).status == ReadStatus::kHeadTooLarge);
+  CHECK(Read(Request("Content-Length: 65\r\n")).status == ReadStatus::kBodyTooLarge);
+  CHECK(Read(Request("Content-Length: 64\r\n", std::string(64, 'a'))).status == ReadStatus::kComplete);
+  const std::string chunk = "20\r\n" + std::string(32, 'a') + "\r\n";
+  CHECK(Read(Request("Transfer-Encoding: chunked\r\n", chunk + chunk)).status == ReadStatus::kNeedMore);
+  CHECK(Read(Request("Transfer-Encoding: chunked\r\n", chunk + chunk + chunk)).status == ReadStatus::kBodyTooLarge);
+}
+
+// Guards against a message that is read differently, or whose successor loses bytes, when the network splits it.
+TEST(Http1Message, DeliveryInPiecesEqualsWholeDelivery) {
+  const std::vector<std::string> requests = {Request("X-Request-Id: i\r\nContent-Length: 5\r\n", "hello"),
+                                             Request("Transfer-Encoding: chunked\r\nConnection: x\r\nX: 1\r\n",
+                                                     "3;e=1\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n"),
+                                             Request("Content-Length: 0\r\n"), "GET / HTTP/1.0\r\nHost: a\r\n\r\n"};
+  const std::vector<std::string> responses = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Stamp: s\r\nX-Not-Run: 1\r\n\r\nhello",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Cold-Ms: 5\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+      "HTTP/1.1 204 No Content\r\nKeep-Alive: timeout=7, max=2\r\n\r\n",
+      "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"};
+  CHECK(CheckProperty(2'000, "pieces equal whole", [&] {
+    const std::string next = *rc::gen::element<std::string>("", "G", "HTTP/1.1 200 OK\r\n\r\n", "\r\n");
+    const auto sizes = *rc::gen::container<std::vector<std::size_t>>(
+        4, rc::gen::weightedOneOf<std::size_t>(
+               {{3, rc::gen::just<std::size_t>(1)}, {1, rc::gen::inRange<std::size_t>(1, 40)}}));
+    const auto check = [&](auto& reader, const std::string& message, const auto& whole) {
+      std::string rest;
+      RC_ASSERT(ReadInPieces(reader, message + next, sizes, rest) == ReadStatus::kComplete);
+      RC_ASSERT(whole.status == ReadStatus::kComplete && whole.rest == next && rest == next);
+      RC_ASSERT(Text(reader.message()) == Text(whole.message));
+    };
+    const std::string request = *rc::gen::elementOf(requests);
+    RequestReader request_reader(kNames, kLimits);
+    check(request_reader, request, Read(request + next));
+    const std::string response = *rc::gen::elementOf(responses);
+    ResponseReader response_reader(kNames, kLimits, false, true);
+    check(response_reader, response, Answer(response + next));
+  }));
+}
+
+// Guards against a success whose body is incomplete, and against bytes that are taken for a response.
+TEST(Http1Message, TruncatedResponsesAreNotComplete) {
+  for (const char* bytes : {"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhell",
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"}) {
+    CHECK(Answer(bytes).status == ReadStatus::kNeedMore);
+    CHECK_TEXT(Answer(bytes).end == ReadStatus::kMalformed, bytes);
+  }
+  for (const char* bytes :
+       {"garbage\r\n\r\n", "HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: br\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}) {
+    CHECK_TEXT(Answer(bytes).status == ReadStatus::kMalformed, bytes);
+  }
+  CHECK(Answer("HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n").status == ReadStatus::kBodyTooLarge);
+}
+
+// Guards against a body without a length that is complete before the connection ends, or never; such a connection
+// can't be used again.
+TEST(Http1Message, ResponseWithoutLengthEndsWithTheConnection) {
+  const auto read = Answer("HTTP/1.1 200 OK\r\nX-Stamp: s\r\n\r\nabc");
+  CHECK(read.status == ReadStatus::kNeedMore);
+  CHECK(read.end == ReadStatus::kComplete);
+  CHECK(read.message.body == "abc" && !read.message.keep_alive);
+  CHECK(Answer("HTTP/1.1 200 OK\r\n\r\n" + std::string(65, 'a')).status == ReadStatus::kBodyTooLarge);
+}
+
+// Guards against bytes of a late or extra response that become part of this one, and against a compressed body that
+// is merged as if it held the searcher's records.
+TEST(Http1Message, BytesAfterTheResponseStayUnread) {
+  const auto read = Answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabextra");
+  CHECK(read.status == ReadStatus::kComplete);
+  CHECK(read.message.body == "ab" && read.rest == "extra");
+  CHECK(Answer("HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 0\r\n\r\n").message.encoded);
+  CHECK(Answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", true).rest == "ab");  // HEAD: without a body
+}
+
+// Guards against an interim response that is taken for the final one with its bytes left over as garbage: it ends
+// after its head, and the final response is read next.
+TEST(Http1Message, InterimResponseEndsAfterItsHead) {
+  const std::string last = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+  for (const std::string interim :
+       {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"}) {
+    const auto read = Answer(interim + last);
+    CHECK(read.status == ReadStatus::kComplete);
+    CHECK(read.message.status / 100 == 1 && read.rest == last);
+  }
+}
+
+}  // namespace pimentomoor
