--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -39,9 +39,10 @@
   return value;
 }
 
+// A time of at least one second.
 Duration OptionalSeconds(YamlMapReader& reader, std::string_view key, Duration fallback) {
   const double seconds =
-      OptionalDecimal(reader, key, std::chrono::duration<double>(fallback).count(), 0, kMaxSeconds);
+      OptionalDecimal(reader, key, std::chrono::duration<double>(fallback).count(), 1, kMaxSeconds);
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
@@ -65,9 +66,6 @@
   retry.allowance = OptionalDecimal(reader, "allowance", retry.allowance, 0, 1'000'000);
   retry.window = OptionalSeconds(reader, "window_s", retry.window);
   reader.RefuseUnknownKeys();
-  if (retry.window < std::chrono::seconds(1)) {
-    reader.Fail(node.line, "window_s", "is below 1");
-  }
   return retry;
 }
 
@@ -122,9 +120,6 @@
     settings.cold = ReadCold(*cold, source);
   }
   reader.RefuseUnknownKeys();
-  if (settings.drain_timeout < std::chrono::seconds(1)) {
-    reader.Fail(root.line, "drain_timeout_s", "is below 1");
-  }
   return settings;
 }
 
--- a/src/libgateway/platform_codec_test.cpp
+++ b/src/libgateway/platform_codec_test.cpp
@@ -9,12 +9,18 @@
 
 TEST_GROUP(PlatformCodec){};
 
-// Guards against a stack overflow: writing the spec of an object recursed for each of its levels.
-TEST(PlatformCodec, DeeplyNestedObjectIsMalformed) {
+// Guards against a stack overflow (writing the spec of an object recursed for each of its levels), and against one
+// such object hiding all others of its page.
+TEST(PlatformCodec, DeeplyNestedObjectIsUnreadableAndHidesNoOther) {
   constexpr std::size_t kLevels = 500'000;  // a value of the store has up to 1 MB
   const std::string body = R"({"store-revision":1,"items":[{"meta":{"name":"a","rev":1},"spec":)" +
-                           std::string(kLevels, '[') + std::string(kLevels, ']') + "}]}";
-  CHECK_THROWS(FormatError, static_cast<void>(MakePlatformCodec()->ParsePage(body)));
+                           std::string(kLevels, '[') + std::string(kLevels, ']') +
+                           R"(},{"meta":{"name":"b","rev":2},"spec":{}}]})";
+  const auto codec = MakePlatformCodec();
+  const RecordPage page = codec->ParsePage(body);
+  CHECK_EQUAL(2U, page.records.size());
+  CHECK_FALSE(codec->ParseUpstream(page.records[0]).has_value());
+  STRCMP_EQUAL("b", page.records[1].name.c_str());
 }
 
 // Guards against counting brackets in a string as levels.
--- /dev/null
+++ b/src/libroute/upstream_score_test.cpp
@@ -0,0 +1,67 @@
+// Tests of the choice between searchers.
+#include "pimentomoor/upstream_score.h"
+
+#include <vector>
+
+// CppUTest's macros come last, because they redefine names that other headers use.
+#include <CppUTest/TestHarness.h>
+
+namespace pimentomoor {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kExpected = milliseconds(30);
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+UpstreamCandidate CandidateAt(const UpstreamSignals& signals, TimePoint now) {
+  return {.slowness = CurrentSlowness(signals, now),
+          .failure_rate = CurrentFailureRate(signals, now),
+          .slots = 3,
+          .resting = now < signals.resting_until};
+}
+
+// Whether the searcher loses against a healthy one on every turn of the tie break.
+bool Loses(const UpstreamCandidate& candidate) {
+  const std::vector<UpstreamCandidate> both = {candidate, {.slots = 3}};
+  return ChooseUpstream(both, kExpected, 0) == 1 && ChooseUpstream(both, kExpected, 1) == 1;
+}
+
+}  // namespace
+
+TEST_GROUP(UpstreamScore){};
+
+// Guards against requests that pile up at a searcher that pauses, has just paused, fails faster than it answers or
+// refuses connections, although another one is free; one that refuses connections loses even against a busy one.
+TEST(UpstreamScore, PausingFailingOrRestingSearcherLoses) {
+  CHECK(Loses({.unanswered = 1, .oldest_unanswered = milliseconds(60), .slots = 3}));
+  UpstreamSignals paused;
+  RecordLatency(paused, milliseconds(250), kExpected, kStart);
+  CHECK(Loses(CandidateAt(paused, kStart)));
+  UpstreamSignals failed;
+  RecordLatency(failed, milliseconds(3), kExpected, kStart);
+  RecordFailure(failed, kStart);
+  CHECK(Loses(CandidateAt(failed, kStart)));
+  UpstreamSignals refused;
+  RecordConnectFailure(refused, kStart);
+  const UpstreamCandidate busy = {.slowness = 6, .failure_rate = 1, .unanswered = 9, .slots = 3, .in_share = false};
+  LONGS_EQUAL(1, ChooseUpstream(std::vector{CandidateAt(refused, kStart), busy}, kExpected, 0));
+  CHECK_FALSE(CandidateAt(refused, kStart + milliseconds(250)).resting);
+  LONGS_EQUAL(0, ChooseUpstreamNaive(std::vector<UpstreamCandidate>(2), kExpected, 0));
+}
+
+// Guards against a searcher that has recovered and gets no requests again: without new samples its signals fade until
+// one more unanswered request at the healthy one decides.
+TEST(UpstreamScore, RecoveredSearcherIsProbedAgain) {
+  UpstreamSignals signals;
+  for (int i = 0; i < 200; ++i) {
+    i < 100 ? RecordLatency(signals, std::chrono::seconds(5), kExpected, kStart)
+            : RecordConnectFailure(signals, kStart);
+  }
+  const std::vector both = {CandidateAt(signals, kStart + std::chrono::seconds(8)),
+                            UpstreamCandidate{.unanswered = 1, .slots = 3}};
+  LONGS_EQUAL(0, ChooseUpstream(both, kExpected, 0));
+  LONGS_EQUAL(0, ChooseUpstream(both, kExpected, 1));
+}
+
+}  // namespace pimentomoor
