Keep the objective of a gather while a searcher refuses connections

Both searchers of one shard refused connections; each failed part was sent again within about 2 ms, which rescheduled the request's timer and passed over the objective. Ruled out: too few parts (19 were in), slow searchers (the missing part was queued, not sent), the loop's lag (below 1 ms). Change: a part of a gather goes at once only to searchers that have not had it, and to a resting one not before its rest is over; the objective is checked before the timer is set again.

--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -29,7 +29,7 @@
   double hedge_quantile = 0.95;
   double min_hedge_share = 0.1;  // of the objective, before which no hedge is sent
   double max_hedge_share = 0.6;
-  Duration retry_pause = std::chrono::milliseconds(8);     // between tries to send a part that found no searcher
+  Duration retry_pause = std::chrono::milliseconds(12);    // between tries to send a part that found no searcher
   Duration cancel_after = std::chrono::milliseconds(250);  // of requests whose caller has left
   Duration refusal_pause = std::chrono::milliseconds(60);  // that a refused caller is told to wait
   bool naive = false;                                      // searchers in turn, no hedges
@@ -89,9 +89,11 @@
   [[nodiscard]] std::size_t ServableParts() const;
   [[nodiscard]] Duration HedgeDelayOfRoute() const;
 
+  /// Which searchers a part may go to: only those that have not had it, or also those that turned it away.
+  enum class Candidates { kUntried, kAll };
   /// Sends the part to one more searcher; false when there is none or a budget is used up.
-  bool SendPart(std::size_t index);
-  [[nodiscard]] std::shared_ptr<UpstreamLink> ChooseLink(Part& part);
+  bool SendPart(std::size_t index, Candidates allowed);
+  [[nodiscard]] std::shared_ptr<UpstreamLink> ChooseLink(Part& part, Candidates allowed);
   [[nodiscard]] bool MaySendAgain(const Part& part) const;
 
   void OnPartAnswered(std::size_t index, Exchange& exchange, ResponseMessage& response);
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -100,7 +100,7 @@
     return;
   }
   for (std::size_t i = 0; i < parts_.size() && !finished_; ++i) {
-    if (!SendPart(i)) {
+    if (!SendPart(i, Candidates::kUntried)) {
       parts_[i].next_try = context_.loop.Now() + context_.settings.retry_pause;
     }
   }
@@ -142,11 +142,11 @@
   return std::min(end_at_, std::max(caller_->received_at + slack, context_.loop.Now() + kMinPartSlack));
 }
 
-std::shared_ptr<UpstreamLink> RequestRun::ChooseLink(Part& part) {
+std::shared_ptr<UpstreamLink> RequestRun::ChooseLink(Part& part, Candidates allowed) {
   const TimePoint now = context_.loop.Now();
   std::vector<std::shared_ptr<UpstreamLink>> links;
   std::vector<UpstreamCandidate> candidates;
-  const bool retry_rejected = part.running.empty() && part.ran == 0;
+  const bool retry_rejected = allowed == Candidates::kAll && part.running.empty() && part.ran == 0;
   for (int pass = 0; pass < 2 && links.empty(); ++pass) {
     for (const auto& link : part.service->links) {
       const bool tried = std::find(part.tried.begin(), part.tried.end(), link->entry().id) != part.tried.end();
@@ -154,8 +154,12 @@
       if (!context_.upstreams.IsUsable(*link) || (tried && (pass == 0 || !retry_rejected))) {
         continue;
       }
+      const UpstreamCandidate candidate = link->Candidate(now);
+      if (tried && candidate.resting) {
+        continue;
+      }
       links.push_back(link);
-      candidates.push_back(link->Candidate(now));
+      candidates.push_back(candidate);
     }
   }
   while (!links.empty()) {
@@ -184,12 +188,12 @@
   return context_.upstreams.MayRetry(*part.service);
 }
 
-bool RequestRun::SendPart(std::size_t index) {
+bool RequestRun::SendPart(std::size_t index, Candidates allowed) {
   Part& part = parts_[index];
   if (!MaySendAgain(part)) {
     return false;
   }
-  const auto link = ChooseLink(part);
+  const auto link = ChooseLink(part, allowed);
   if (link == nullptr) {
     return false;
   }
@@ -257,7 +261,7 @@
   }
   for (std::size_t i = 0; i < parts_.size() && !finished_; ++i) {
     Part& part = parts_[i];
-    if (!part.done && now >= part.next_try && !SendPart(i)) {
+    if (!part.done && now >= part.next_try && !SendPart(i, Candidates::kAll)) {
       part.next_try = now + context_.settings.retry_pause;
     }
   }
@@ -341,7 +345,13 @@
   if (!part.running.empty()) {
     return;  // a hedge is still running
   }
-  if (SendPart(index)) {
+  // A part of a gather is sent to the same searcher again after a pause only: one that refuses connections would fail
+  // it every millisecond.
+  if (SendPart(index, gathers() ? Candidates::kUntried : Candidates::kAll)) {
+    // Rescheduling can pass over the objective when this event runs before a due timer.
+    if (gathers()) {
+      CheckGather();
+    }
     ScheduleTimer();
     return;
   }
