Report all findings of a checked file at once

Cause: `pimentomoor check` stopped at the first wrong key, so an operator corrected a file finding by finding.

Change: YamlMapReader::Check() keeps the ConfigError of one read and Finish() throws all of them with the unknown keys. ConfigError::what() stays that of the first finding; findings() has a line for each, and the commands print these. The readers of gateway settings, plans, access and outages use it; items of the catalog's lists too. At about 100 findings reading stops, so that a text that is wrong throughout stays cheap to refuse.

--- a/src/include/pimentomoor/strict_yaml.h
+++ b/src/include/pimentomoor/strict_yaml.h
@@ -7,25 +7,67 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace pimentomoor {
 
-/// Wrong text in a list, settings file or answer. what() is "<source>:<line>: key '<key>': <problem>".
+/// Wrong text in a list, settings file or answer. what() is "<source>:<line>: key '<key>': <problem>" of the first
+/// finding, as are line() and key().
 class ConfigError : public std::runtime_error {
  public:
   /// `line` counts from 1; 0 leaves it out, as does an empty `key`.
   ConfigError(std::string_view source, int line, std::string_view key, std::string_view problem);
+  /// Several findings: `first` with the lines of all of them.
+  ConfigError(const ConfigError& first, std::string findings) : ConfigError(first) {
+    findings_ = std::move(findings);
+  }
 
   [[nodiscard]] int line() const { return line_; }
   [[nodiscard]] const std::string& key() const { return key_; }
+  /// A line in the form of what() for each finding.
+  [[nodiscard]] const std::string& findings() const { return findings_; }
 
  private:
   int line_;
   std::string key_;
+  std::string findings_;
+};
+
+/// Collects the findings of one text, so that its author sees all of them at once.
+class ConfigFindings {
+ public:
+  /// Runs `read` and keeps the ConfigError that it throws; returns whether it threw none.
+  template <typename Read>
+  bool Check(Read&& read) {
+    try {
+      std::forward<Read>(read)();
+      return true;
+    } catch (const ConfigError& error) {
+      Add(error);
+      return false;
+    }
+  }
+
+  /// Enough findings for one message: reading on would only cost time, since a text that is wrong throughout has
+  /// thousands.
+  [[nodiscard]] bool full() const { return lines_ >= kMaxLines; }
+
+  /// Throws one ConfigError with all findings; does nothing when there are none.
+  void Throw() const;
+
+ private:
+  void Add(const ConfigError& error);
+
+  static constexpr std::size_t kMaxLines = 100;
+
+  std::optional<ConfigError> first_;
+  std::string text_;       // a line for each finding
+  std::size_t lines_ = 0;  // in text_
 };
 
 struct YamlLimits {
@@ -74,9 +116,17 @@
   const std::vector<YamlNode>& OptionalSequence(std::string_view key, std::size_t max_items);
   const std::vector<YamlNode>& RequireSequence(std::string_view key, std::size_t max_items);
 
-  /// Throws ConfigError that names the first key that was neither found nor required.
+  /// Throws ConfigError that names the keys that were neither found nor required.
   void RefuseUnknownKeys() const;
 
+  /// Runs `read` and keeps its ConfigError for Finish(); returns whether it threw none.
+  template <typename Read>
+  bool Check(Read&& read) {
+    return findings_.Check(std::forward<Read>(read));
+  }
+  /// Refuses unknown keys and throws all that Check() has kept as one ConfigError.
+  void Finish();
+
   [[nodiscard]] std::string PathOf(std::string_view key) const;
   [[noreturn]] void Fail(int line, std::string_view key, std::string_view problem) const;
 
@@ -85,6 +135,7 @@
   std::string source_;
   std::string path_;
   std::vector<std::string> known_;  // keys asked for so far
+  ConfigFindings findings_;
 };
 
 /// Whether `text` has 1 to `max_bytes` bytes and no control characters.
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -44,14 +44,17 @@
 }
 
 std::vector<std::string> ReadSeeds(YamlMapReader& reader, std::string_view source, const std::string& peer_address) {
-  const std::string port = peer_address.substr(peer_address.rfind(':'));
+  // Empty when peer_address was refused, which refuses the whole file.
+  const std::string port = peer_address.empty() ? "" : peer_address.substr(peer_address.rfind(':'));
   std::vector<std::string> seeds;
   for (const auto& item : reader.OptionalSequence("seed_peers", kMaxSeeds)) {
-    const std::string address = YamlText(item, source, "seed_peers", kMaxNameBytes);
-    if (!IsSocketAddress(address)) {
-      reader.Fail(item.line, "seed_peers", QuoteForError(address) + " is not an IP number and a port");
-    }
-    seeds.push_back(address.substr(0, address.rfind(':')) + port);
+    reader.Check([&] {
+      const std::string address = YamlText(item, source, "seed_peers", kMaxNameBytes);
+      if (!IsSocketAddress(address)) {
+        reader.Fail(item.line, "seed_peers", QuoteForError(address) + " is not an IP number and a port");
+      }
+      seeds.push_back(address.substr(0, address.rfind(':')) + port);
+    });
   }
   return seeds;
 }
@@ -59,22 +62,24 @@
 RetryBudgetSettings ReadRetry(const YamlNode& node, std::string_view source) {
   YamlMapReader reader(node, source, "retry");
   RetryBudgetSettings retry;
-  retry.ratio = OptionalDecimal(reader, "ratio", retry.ratio, 0, 10);
-  retry.allowance = OptionalDecimal(reader, "allowance", retry.allowance, 0, 1'000'000);
-  retry.window = OptionalSeconds(reader, "window_s", retry.window);
-  reader.RefuseUnknownKeys();
-  if (retry.window < std::chrono::seconds(1)) {
-    reader.Fail(node.line, "window_s", "is below 1");
-  }
+  reader.Check([&] { retry.ratio = OptionalDecimal(reader, "ratio", retry.ratio, 0, 10); });
+  reader.Check([&] { retry.allowance = OptionalDecimal(reader, "allowance", retry.allowance, 0, 1'000'000); });
+  reader.Check([&] {
+    retry.window = OptionalSeconds(reader, "window_s", retry.window);
+    if (retry.window < std::chrono::seconds(1)) {
+      reader.Fail(node.line, "window_s", "is below 1");
+    }
+  });
+  reader.Finish();
   return retry;
 }
 
 ColdSettings ReadCold(const YamlNode& node, std::string_view source) {
   YamlMapReader reader(node, source, "cold");
   ColdSettings cold;
-  cold.rate_factor = OptionalDecimal(reader, "rate_factor", cold.rate_factor, 0, 100);
-  cold.slack = OptionalDecimal(reader, "slack", cold.slack, 0, 1'000'000);
-  reader.RefuseUnknownKeys();
+  reader.Check([&] { cold.rate_factor = OptionalDecimal(reader, "rate_factor", cold.rate_factor, 0, 100); });
+  reader.Check([&] { cold.slack = OptionalDecimal(reader, "slack", cold.slack, 0, 1'000'000); });
+  reader.Finish();
   return cold;
 }
 
@@ -96,28 +101,31 @@
   const YamlNode root = ParseStrictYaml(text, source);
   YamlMapReader reader(root, source, "");
   GatewaySettings settings;
-  settings.host = reader.RequireText("host", kMaxNameBytes);
-  settings.failure_domain = reader.RequireText("failure_domain", kMaxNameBytes);
-  settings.caller_address = RequireAddress(reader, "caller_address");
-  settings.ready_address = RequireAddress(reader, "ready_address");
-  settings.directory_address = RequireAddress(reader, "directory_address");
-  settings.peer_address = RequireAddress(reader, "peer_address");
-  settings.seed_peers = ReadSeeds(reader, source, settings.peer_address);
-  settings.store_address = RequireAddress(reader, "store_address");
-  settings.log_level = ReadLogLevel(reader);
-  settings.entry_ttl = std::chrono::seconds(reader.OptionalUnsigned("entry_ttl_s", 2, 1, kMaxTtlS));
-  settings.drain_timeout = OptionalSeconds(reader, "drain_timeout_s", settings.drain_timeout);
-  settings.run.naive = reader.OptionalBool("naive", false);
+  reader.Check([&] { settings.host = reader.RequireText("host", kMaxNameBytes); });
+  reader.Check([&] { settings.failure_domain = reader.RequireText("failure_domain", kMaxNameBytes); });
+  reader.Check([&] { settings.caller_address = RequireAddress(reader, "caller_address"); });
+  reader.Check([&] { settings.ready_address = RequireAddress(reader, "ready_address"); });
+  reader.Check([&] { settings.directory_address = RequireAddress(reader, "directory_address"); });
+  reader.Check([&] { settings.peer_address = RequireAddress(reader, "peer_address"); });
+  reader.Check([&] { settings.seed_peers = ReadSeeds(reader, source, settings.peer_address); });
+  reader.Check([&] { settings.store_address = RequireAddress(reader, "store_address"); });
+  reader.Check([&] { settings.log_level = ReadLogLevel(reader); });
+  reader.Check(
+      [&] { settings.entry_ttl = std::chrono::seconds(reader.OptionalUnsigned("entry_ttl_s", 2, 1, kMaxTtlS)); });
+  reader.Check([&] {
+    settings.drain_timeout = OptionalSeconds(reader, "drain_timeout_s", settings.drain_timeout);
+    if (settings.drain_timeout < std::chrono::seconds(1)) {
+      reader.Fail(root.line, "drain_timeout_s", "is below 1");
+    }
+  });
+  reader.Check([&] { settings.run.naive = reader.OptionalBool("naive", false); });
   if (const YamlNode* retry = reader.Find("retry"); retry != nullptr) {
-    settings.retry = ReadRetry(*retry, source);
+    reader.Check([&] { settings.retry = ReadRetry(*retry, source); });
   }
   if (const YamlNode* cold = reader.Find("cold"); cold != nullptr) {
-    settings.cold = ReadCold(*cold, source);
-  }
-  reader.RefuseUnknownKeys();
-  if (settings.drain_timeout < std::chrono::seconds(1)) {
-    reader.Fail(root.line, "drain_timeout_s", "is below 1");
+    reader.Check([&] { settings.cold = ReadCold(*cold, source); });
   }
+  reader.Finish();
   return settings;
 }
 
--- a/src/libplatform/config_lists.cpp
+++ b/src/libplatform/config_lists.cpp
@@ -54,14 +54,17 @@
 }
 
 ChangeStamp ReadStamp(YamlMapReader& map) {
+  map.Find("operator");  // known also when `writer` is refused
   return {.writer = map.OptionalText("writer", kMaxNameBytes),
           .operator_name = map.OptionalText("operator", kMaxNameBytes)};
 }
 
-/// Orders `values` by `name` and refuses equal names. `nodes` are the items that the values came from.
+/// Orders `values` by `name` and refuses equal names. `nodes` are the items of the list, and `places` those of them
+/// that the values came from.
 template <typename Value, typename Name>
-void SortUnique(std::vector<Value>& values, const std::vector<YamlNode>& nodes, std::string_view source,
-                const std::string& list, Name name) {
+void SortUnique(std::vector<Value>& values, const std::vector<std::size_t>& places,
+                const std::vector<YamlNode>& nodes, std::string_view source, const std::string& list, Name name,
+                ConfigFindings& findings) {
   std::vector<std::size_t> order(values.size());
   for (std::size_t i = 0; i < order.size(); ++i) {
     order[i] = i;
@@ -78,42 +81,51 @@
       } else {
         shown = std::to_string(name(values[i]));
       }
-      throw ConfigError(source, nodes[i].line, ItemPath(list, i), shown + " is listed twice");
+      findings.Check([&] {
+        throw ConfigError(source, nodes[places[i]].line, ItemPath(list, places[i]), shown + " is listed twice");
+      });
+      if (findings.full()) {
+        break;
+      }
     }
     sorted.push_back(std::move(values[i]));
   }
   values = std::move(sorted);
 }
 
-/// Reads each item of `list` with `read(node, path)`, orders the values by `name` and refuses equal names.
+/// Reads each item of `list` with `read(node, path)`, orders the values by `name` and refuses equal names. Reports
+/// the findings of all items at once.
 template <typename Read, typename Name>
 auto ReadList(const std::vector<YamlNode>& items, std::string_view source, const std::string& list, Read read,
               Name name) {
   std::vector<decltype(read(items[0], list))> values;
+  std::vector<std::size_t> places;
+  ConfigFindings findings;
   values.reserve(items.size());
-  for (std::size_t i = 0; i < items.size(); ++i) {
-    values.push_back(read(items[i], ItemPath(list, i)));
+  places.reserve(items.size());
+  for (std::size_t i = 0; i < items.size() && !findings.full(); ++i) {
+    if (findings.Check([&] { values.push_back(read(items[i], ItemPath(list, i))); })) {
+      places.push_back(i);
+    }
   }
-  SortUnique(values, items, source, list, name);
+  SortUnique(values, places, items, source, list, name, findings);
+  findings.Throw();
   return values;
 }
 
 std::vector<std::string> ReadNames(YamlMapReader& map, std::string_view key, std::string_view source,
                                    std::size_t max_items, const std::function<bool(std::string_view)>& valid,
                                    std::string_view expected) {
-  const auto& items = map.OptionalSequence(key, max_items);
-  std::vector<std::string> names;
-  for (std::size_t i = 0; i < items.size(); ++i) {
-    const std::string path = ItemPath(map.PathOf(key), i);
-    names.push_back(YamlText(items[i], source, path, kMaxNameBytes));
-    if (!valid(names.back())) {
-      throw ConfigError(source, items[i].line, path,
-                        QuoteForError(names.back()) + " is not " + std::string(expected));
-    }
-  }
-  SortUnique(names, items, source, map.PathOf(key),
-             [](const std::string& name) -> const std::string& { return name; });
-  return names;
+  return ReadList(
+      map.OptionalSequence(key, max_items), source, map.PathOf(key),
+      [&](const YamlNode& item, const std::string& path) {
+        std::string name = YamlText(item, source, path, kMaxNameBytes);
+        if (!valid(name)) {
+          throw ConfigError(source, item.line, path, QuoteForError(name) + " is not " + std::string(expected));
+        }
+        return name;
+      },
+      [](const std::string& name) -> const std::string& { return name; });
 }
 
 bool IsServicePattern(std::string_view text) {
@@ -140,23 +152,30 @@
 
 CustomerPlan ReadCustomerPlan(const YamlNode& node, std::string_view source, const std::string& path) {
   YamlMapReader map(node, source, path);
-  CustomerPlan plan{.customer = map.RequireText("customer", kMaxNameBytes), .plan = RequireName(map, "plan")};
-  map.RefuseUnknownKeys();
+  CustomerPlan plan;
+  map.Check([&] { plan.customer = map.RequireText("customer", kMaxNameBytes); });
+  map.Check([&] { plan.plan = RequireName(map, "plan"); });
+  map.Finish();
   return plan;
 }
 
 AccessPlan ReadAccessPlan(const YamlNode& node, std::string_view source, const std::string& path) {
   YamlMapReader map(node, source, path);
   AccessPlan plan;
-  plan.name = RequireName(map, "name");
-  map.Require("services");
-  plan.services = ReadNames(map, "services", source, kMaxServicesPerPlan, IsServicePattern,
-                            "a service name or a prefix that ends in '*'");
-  plan.queries_per_second = static_cast<std::uint32_t>(map.RequireUnsigned("queries_per_second", 1, kMaxRate));
-  plan.burst = static_cast<std::uint32_t>(map.RequireUnsigned("burst", 1, kMaxRate));
-  plan.concurrency = static_cast<std::uint32_t>(map.RequireUnsigned("concurrency", 1, kMaxRate));
-  plan.max_deadline_ms = static_cast<std::uint32_t>(map.RequireUnsigned("max_deadline_ms", 1, kMaxQueryDeadlineMs));
-  map.RefuseUnknownKeys();
+  map.Check([&] { plan.name = RequireName(map, "name"); });
+  map.Check([&] {
+    map.Require("services");
+    plan.services = ReadNames(map, "services", source, kMaxServicesPerPlan, IsServicePattern,
+                              "a service name or a prefix that ends in '*'");
+  });
+  const auto read = [&map](std::uint32_t& value, std::string_view key, std::uint64_t max) {
+    map.Check([&] { value = static_cast<std::uint32_t>(map.RequireUnsigned(key, 1, max)); });
+  };
+  read(plan.queries_per_second, "queries_per_second", kMaxRate);
+  read(plan.burst, "burst", kMaxRate);
+  read(plan.concurrency, "concurrency", kMaxRate);
+  read(plan.max_deadline_ms, "max_deadline_ms", kMaxQueryDeadlineMs);
+  map.Finish();
   return plan;
 }
 
@@ -220,12 +239,14 @@
   const YamlNode root = ParseStrictYaml(text, source);
   YamlMapReader map(root, source, "");
   Plans result;
-  result.plans = ReadList(
-      map.RequireSequence("plans", kMaxCustomers), source, "plans",
-      [&](const YamlNode& item, const std::string& path) { return ReadCustomerPlan(item, source, path); },
-      [](const CustomerPlan& plan) -> const std::string& { return plan.customer; });
-  result.stamp = ReadStamp(map);
-  map.RefuseUnknownKeys();
+  map.Check([&] {
+    result.plans = ReadList(
+        map.RequireSequence("plans", kMaxCustomers), source, "plans",
+        [&](const YamlNode& item, const std::string& path) { return ReadCustomerPlan(item, source, path); },
+        [](const CustomerPlan& plan) -> const std::string& { return plan.customer; });
+  });
+  map.Check([&] { result.stamp = ReadStamp(map); });
+  map.Finish();
   return result;
 }
 
@@ -233,12 +254,14 @@
   const YamlNode root = ParseStrictYaml(text, source);
   YamlMapReader map(root, source, "");
   Access result;
-  result.plans = ReadList(
-      map.RequireSequence("plans", kMaxPlans), source, "plans",
-      [&](const YamlNode& item, const std::string& path) { return ReadAccessPlan(item, source, path); },
-      [](const AccessPlan& plan) -> const std::string& { return plan.name; });
-  result.stamp = ReadStamp(map);
-  map.RefuseUnknownKeys();
+  map.Check([&] {
+    result.plans = ReadList(
+        map.RequireSequence("plans", kMaxPlans), source, "plans",
+        [&](const YamlNode& item, const std::string& path) { return ReadAccessPlan(item, source, path); },
+        [](const AccessPlan& plan) -> const std::string& { return plan.name; });
+  });
+  map.Check([&] { result.stamp = ReadStamp(map); });
+  map.Finish();
   return result;
 }
 
@@ -247,16 +270,20 @@
   YamlMapReader map(root, source, "");
   Outages result;
   // Both lists are required: a text that lost one of them would bring hosts back into service.
-  map.Require("failure_domains");
-  map.Require("hosts");
-  result.failure_domains =
-      ReadNames(map, "failure_domains", source, kMaxOutageEntries, IsName, "the name of a failure domain");
-  result.hosts = ReadNames(
-      map, "hosts", source, kMaxOutageEntries,
-      [](std::string_view host) { return IsName(host) || IsSocketAddress(host) || IsIpAddress(std::string(host)); },
-      "a host name, an IP address or \"IP:port\"");
-  result.stamp = ReadStamp(map);
-  map.RefuseUnknownKeys();
+  map.Check([&] {
+    map.Require("failure_domains");
+    result.failure_domains =
+        ReadNames(map, "failure_domains", source, kMaxOutageEntries, IsName, "the name of a failure domain");
+  });
+  map.Check([&] {
+    map.Require("hosts");
+    result.hosts = ReadNames(
+        map, "hosts", source, kMaxOutageEntries,
+        [](std::string_view host) { return IsName(host) || IsSocketAddress(host) || IsIpAddress(std::string(host)); },
+        "a host name, an IP address or \"IP:port\"");
+  });
+  map.Check([&] { result.stamp = ReadStamp(map); });
+  map.Finish();
   return result;
 }
 
--- a/src/libplatform/config_lists_test.cpp
+++ b/src/libplatform/config_lists_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the parsers of operators' lists and catalogs, and of the lookups.
 #include "pimentomoor/config_lists.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <functional>
 
@@ -59,6 +60,31 @@
 
 TEST_GROUP(ConfigLists){};
 
+// Guards against a check that names one wrong line of many, and against an endless report.
+TEST(ConfigLists, AllFindingsOfAListAreReported) {
+  const auto findings_of = [](std::string_view text) -> std::string {
+    try {
+      ParsePlans(text, "fuzz");
+    } catch (const ConfigError& error) {
+      return error.findings();
+    }
+    return "";
+  };
+  STRCMP_EQUAL(
+      "fuzz:2: key 'plans[0].plan': 'p/q' has a character other than letters, digits, '.', '_' and '-'\n"
+      "fuzz:3: key 'plans[1].plan': missing\n"
+      "fuzz:3: key 'plans[1].paln': unknown key with value 'p'\n"
+      "fuzz:5: key 'x': unknown key with value '1'",
+      findings_of("plans:\n- {customer: a, plan: p/q}\n- {customer: b, paln: p}\n- {customer: c, plan: p}\nx: 1\n")
+          .c_str());
+  std::string text = "plans:\n";
+  for (int i = 0; i < 1'000; ++i) {
+    text += "- {}\n";
+  }
+  const std::string findings = findings_of(text);
+  LONGS_EQUAL(100, std::count(findings.begin(), findings.end(), '\n'));
+}
+
 // Guards against a list that parses to other values than it states.
 TEST(ConfigLists, ParsesTheDocumentedFormats) {
   const Plans plans = ParsePlans(kPlansText, "p");
--- a/src/libplatform/strict_yaml.cpp
+++ b/src/libplatform/strict_yaml.cpp
@@ -178,7 +178,27 @@
 }  // namespace
 
 ConfigError::ConfigError(std::string_view source, int line, std::string_view key, std::string_view problem)
-    : std::runtime_error(Format(source, line, key, problem)), line_(line), key_(key) {}
+    : std::runtime_error(Format(source, line, key, problem)), line_(line), key_(key), findings_(what()) {}
+
+void ConfigFindings::Add(const ConfigError& error) {
+  if (full()) {
+    return;
+  }
+  const std::string& lines = error.findings();
+  if (!first_) {
+    first_ = error;
+  }
+  text_.append(text_.empty() ? "" : "\n").append(lines);
+  lines_ += static_cast<std::size_t>(1 + std::count(lines.begin(), lines.end(), '\n'));
+}
+
+void ConfigFindings::Throw() const {
+  if (first_) {
+    // The findings of a nested map or list can end with the same remark.
+    constexpr std::string_view kMore = "\nand possibly more, which were not read";
+    throw ConfigError(*first_, full() && !text_.ends_with(kMore) ? text_ + std::string(kMore) : text_);
+  }
+}
 
 std::string QuoteForError(std::string_view value) {
   std::string quoted = "'";
@@ -322,15 +342,22 @@
 }
 
 void YamlMapReader::RefuseUnknownKeys() const {
-  for (std::size_t i = 0; i < node_.keys.size(); ++i) {
+  ConfigFindings unknown;
+  for (std::size_t i = 0; i < node_.keys.size() && !unknown.full(); ++i) {
     const std::string& key = node_.keys[i];
     const YamlNode& value = node_.items[i];
     if (std::find(known_.begin(), known_.end(), key) == known_.end()) {
       const std::string shown =
           value.kind == YamlNode::Kind::kScalar ? " with value " + QuoteForError(value.scalar) : "";
-      Fail(value.line, key, "unknown key" + shown);
+      unknown.Check([&] { Fail(value.line, key, "unknown key" + shown); });
     }
   }
+  unknown.Throw();
+}
+
+void YamlMapReader::Finish() {
+  Check([this] { RefuseUnknownKeys(); });
+  findings_.Throw();
 }
 
 std::string YamlMapReader::PathOf(std::string_view key) const {
--- a/src/pimentomoor/command_line.cpp
+++ b/src/pimentomoor/command_line.cpp
@@ -3,6 +3,7 @@
 
 #include <fstream>
 #include <iostream>
+#include <sstream>
 
 #include "pimentomoor/strict_yaml.h"
 
@@ -29,7 +30,10 @@
               << "'pimentomoor " << name << " --help' lists the options.\n";
     return 2;
   } catch (const ConfigError& error) {
-    std::cerr << "pimentomoor " << name << ": " << error.what() << "\n";
+    std::istringstream findings(error.findings());
+    for (std::string finding; std::getline(findings, finding);) {
+      std::cerr << "pimentomoor " << name << ": " << finding << "\n";
+    }
     return 2;
   } catch (const std::exception& error) {
     std::cerr << "pimentomoor " << name << ": " << error.what() << "\n";
