Trace gateway requests and show gateways to operators

Cause: nobody could see why a request at a gateway was late, partial or refused, and /status did not tell which searchers, table version and store state a daemon uses.

The peer listener serves /traces?slow=N and /traces?request=ID, and /status has members, searchers by state, retry budget, sources, and reasons of refusals.

Not run: sanitizers, the process tests, a measurement of the recording's cost under load.

--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -46,6 +46,8 @@
   void HandleReady(const std::shared_ptr<CallerExchange>& exchange);
   void HandleDirectory(const std::shared_ptr<CallerExchange>& exchange);
   void HandlePeer(const std::shared_ptr<CallerExchange>& exchange);
+  /// Answers /status and /traces; false for other targets.
+  [[nodiscard]] bool HandleInspection(CallerExchange& exchange) const;
   [[nodiscard]] std::string RenderStatus() const;
 
   void OnRoutingRecord(const StoredRecord& record);
@@ -75,8 +77,10 @@
   const std::uint64_t incarnation_;
   Metrics metrics_;
   UpstreamSet upstreams_;
+  RunTracer tracer_;
   RunContext runs_;
   std::shared_ptr<const RoutingTable> table_;  // in force; null before the first one is known
+  TimePoint table_since_{};                    // when it came into force here
   std::array<std::unique_ptr<RecordFeed>, kRecordKinds> feeds_;
   /// The newest change of a kind that a peer has named, while this daemon does not know it.
   struct PeerNews {
--- a/src/include/pimentomoor/metrics.h
+++ b/src/include/pimentomoor/metrics.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "pimentomoor/clock.h"
 
@@ -28,6 +29,8 @@
   void Observe(std::string_view name, Duration value, std::string_view labels = "");
 
   [[nodiscard]] std::uint64_t counter(std::string_view name, std::string_view labels = "") const;
+  /// The counters of one name by label set.
+  [[nodiscard]] std::vector<std::pair<std::string, std::uint64_t>> CountersOf(std::string_view name) const;
   [[nodiscard]] std::string Render() const;
 
  private:
--- a/src/include/pimentomoor/record_feed.h
+++ b/src/include/pimentomoor/record_feed.h
@@ -71,6 +71,8 @@
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
   /// Revision of the newest known change of this kind; the same at every daemon that knows the change.
   [[nodiscard]] std::uint64_t content_revision() const { return content_revision_; }
+  /// When this daemon last learned of a change; unset before the first list.
+  [[nodiscard]] TimePoint changed_at() const { return changed_at_; }
   [[nodiscard]] const std::map<std::string, StoredRecord>& records() const { return records_; }
   [[nodiscard]] Source source() const { return source_; }
   /// The store has not answered this daemon since then; TimePoint::max() while it answers.
@@ -101,6 +103,7 @@
   std::map<std::string, StoredRecord> records_;
   std::uint64_t revision_ = 0;  // of the store, up to which records_ is complete; 0 before the first list
   std::uint64_t content_revision_ = 0;
+  TimePoint changed_at_{};
   std::uint64_t rechecked_revision_ = 0;  // of a peer, for which the store was asked again
   std::vector<StoredRecord> listed_;      // pages of the running list
   std::uint64_t list_revision_ = 0;       // of its first page: the watch repeats what changed between the pages
--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -14,6 +14,7 @@
 #include "pimentomoor/lag_estimate.h"
 #include "pimentomoor/metrics.h"
 #include "pimentomoor/routing_table.h"
+#include "pimentomoor/run_trace.h"
 #include "pimentomoor/upstream_set.h"
 
 namespace pimentomoor {
@@ -52,6 +53,7 @@
   std::map<std::string, WeightedChooser> choosers;  // by route name
   LagEstimate lag;                                  // of this daemon's loop
   std::size_t rotation = 0;                         // breaks ties between equal searchers
+  RunTracer* tracer = nullptr;                      // records nothing when null
 };
 
 class RequestRun final : public ExchangeOwner, public std::enable_shared_from_this<RequestRun> {
@@ -101,6 +103,7 @@
   void Fail(int status, const char* reason);
   void Respond(const OutgoingResponse& response, const char* outcome);
   void CancelRunning(TimePoint give_up_at);
+  void RecordTrace(int status, const char* outcome);
 
   RunContext& context_;
   std::shared_ptr<CallerExchange> caller_;
@@ -118,6 +121,7 @@
   bool may_have_run_ = false;
   ResponseMessage last_failure_;  // of a searcher that ran the request; status 0 when there was none
   bool finished_ = false;
+  RunTrace trace_;
 };
 
 }  // namespace pimentomoor
--- a/src/include/pimentomoor/shared_budget.h
+++ b/src/include/pimentomoor/shared_budget.h
@@ -43,9 +43,13 @@
   std::array<Slot, kSlots + 1> slots_{};
 };
 
-/// Whether one more extra arrival stays within this daemon's part. `started` is the start of this process: its
-/// predecessor at the same address may have spent the allowance of the last window, so the part grows over one
-/// window.
+/// Extra arrivals that this daemon may still add in the current window; negative when its part has shrunk below what
+/// it has used. `started` is the start of this process: its predecessor at the same address may have spent the
+/// allowance of the last window, so the part grows over one window.
+double ExtrasLeft(const RetryWindow& window, const RetryBudgetSettings& settings, std::size_t daemons,
+                  TimePoint started, TimePoint now);
+
+/// Whether one more extra arrival stays within this daemon's part.
 bool MayAddExtra(const RetryWindow& window, const RetryBudgetSettings& settings, std::size_t daemons,
                  TimePoint started, TimePoint now);
 
--- a/src/include/pimentomoor/trace.h
+++ b/src/include/pimentomoor/trace.h
@@ -44,6 +44,7 @@
   std::string trace_id;
   Duration duration{};
   std::vector<Span> spans;  // the first one covers the whole trace
+  std::string request_id;   // of the caller; empty when requests are found by trace id only
 };
 
 /// Keeps the most recent traces; older ones are dropped.
@@ -56,8 +57,9 @@
   void Add(Trace trace);
   /// Sets the function that gets every added trace.
   void OnAdd(Listener listener) { listener_ = std::move(listener); }
-  /// JSON with the `count` slowest stored traces, slowest first. Durations are in microseconds.
-  [[nodiscard]] std::string RenderSlowest(std::size_t count) const;
+  /// JSON with the `count` slowest stored traces, slowest first; those of one request when `request_id` is not empty.
+  /// Durations are in microseconds.
+  [[nodiscard]] std::string RenderSlowest(std::size_t count, std::string_view request_id = "") const;
 
  private:
   std::size_t capacity_;
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -57,6 +57,9 @@
 
 class Exchange;
 
+/// Why an exchange was started.
+enum class SendReason : std::uint8_t { kFirst, kRetry, kHedge };
+
 /// Receives the outcome of an exchange. Called from the event loop, never from inside UpstreamLink::Send().
 class ExchangeOwner {
  public:
@@ -77,6 +80,12 @@
   TimePoint give_up_at{};  // when the connection of an unanswered request is closed
   bool sent = false;
   bool done = false;
+  // Of the owner, for traces.
+  SendReason reason = SendReason::kFirst;
+  ExchangeOutcome outcome = ExchangeOutcome::kNotSent;  // valid once ended_at is set
+  int answer_status = 0;                                // 0 without an answer
+  TimePoint queued_at{};
+  TimePoint ended_at{};  // unset while the owner waits for it, and when the owner gave it up
 };
 using ExchangePtr = std::shared_ptr<Exchange>;
 
@@ -121,6 +130,8 @@
   void SetDoubtful(bool doubtful) { doubtful_ = doubtful; }
 
   [[nodiscard]] bool usable() const { return !retired_ && !misdirected_ && !entry_.draining; }
+  [[nodiscard]] bool misdirected() const { return misdirected_; }
+  [[nodiscard]] bool doubtful() const { return doubtful_; }
   [[nodiscard]] bool cold(TimePoint now) const { return now < cold_until_; }
   void SetColdFor(Duration left, TimePoint now) { cold_until_ = now + left; }
   [[nodiscard]] UpstreamCandidate Candidate(TimePoint now) const;
--- a/src/include/pimentomoor/upstream_set.h
+++ b/src/include/pimentomoor/upstream_set.h
@@ -63,6 +63,10 @@
   /// Takes the allowance of a cold searcher; true for a warm one.
   bool TakeColdAllowance(ServiceState& service, UpstreamLink& link);
   [[nodiscard]] bool MayRetry(const ServiceState& service) const;
+  /// Retries and hedges that this daemon may still send to the service in the current window.
+  [[nodiscard]] double RetriesLeft(const ServiceState& service) const {
+    return ExtrasLeft(service.retries, retry_, daemons_, started_, context_.loop.Now());
+  }
   void CountRequest(ServiceState& service);
   void CountExtra(ServiceState& service);
 
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -4,9 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <set>
-#include <sstream>
 
-#include "pimentomoor/json_text.h"
 #include "pimentomoor/log.h"
 #include "pimentomoor/random.h"
 
@@ -42,11 +40,13 @@
                   .names = codec.field_names(),
                   .failure_domain = settings_.failure_domain},
                  settings_.retry, settings_.cold),
+      tracer_(metrics_, settings_.host),
       runs_{.loop = loop,
             .metrics = metrics_,
             .names = codec.field_names(),
             .upstreams = upstreams_,
-            .settings = settings_.run} {
+            .settings = settings_.run,
+            .tracer = &tracer_} {
   BuildFeeds();
   const auto serve = [this](const std::string& address, std::size_t body_bytes,
                             void (Gateway::*handler)(const std::shared_ptr<CallerExchange>&)) {
@@ -166,6 +166,7 @@
       return;
     }
     table_ = std::make_shared<RoutingTable>(std::move(spec));
+    table_since_ = loop_.Now();
     upstreams_.ApplyServices(table_->spec().services);
     const CallerLimits& limits = table_->limits();
     caller_server_->SetLimits({.head_bytes = limits.head_bytes, .body_bytes = limits.body_bytes}, limits.head_timeout,
@@ -217,6 +218,8 @@
   if (table_ == nullptr || !feed(RecordKind::kUpstreams).loaded()) {
     metrics_.Count("pimentomoor_run_refused_total", 1, "reason=\"no routing table\"");
     exchange->Respond({.status = 503, .fields = "Retry-After: 0.2\r\n"});
+    tracer_.OnRequestEnd(*exchange, {}, {.route = "-", .outcome = "outcome=\"no routing table\"", .status = 503},
+                         loop_.Now());
     return;
   }
   const RouteSpec* route = table_->Find(request.host, request.path());
@@ -266,8 +269,7 @@
     exchange->Respond({.fields = "Content-Type: text/plain; version=0.0.4\r\n", .body = metrics_.Render()});
     return;
   }
-  if (target == "/status") {
-    exchange->Respond({.fields = "Content-Type: application/json\r\n", .body = RenderStatus()});
+  if (HandleInspection(*exchange)) {
     return;
   }
   constexpr std::string_view kAfter = "?after=";
@@ -300,21 +302,6 @@
   exchange.Respond({.status = feed.loaded() ? 200 : 503, .body = message.SerializeAsString()});
 }
 
-std::string Gateway::RenderStatus() const {
-  std::ostringstream out;
-  out << "{\"host\":" << JsonQuote(settings_.host) << ",\"ready\":" << (ready() ? "true" : "false")
-      << ",\"routing_version\":" << (table_ == nullptr ? 0 : table_->version())
-      << ",\"daemons_alive\":" << 1 + peers_->Alive().size() << ",\"daemons_counted\":" << upstreams_.daemons()
-      << ",\"upstreams\":" << upstreams_.announced() << ",\"store\":{";
-  for (const auto& feed : feeds_) {
-    out << (feed->kind() == RecordKind::kRouting ? "" : ",") << JsonQuote(ToString(feed->kind()))
-        << ":{\"revision\":" << feed->revision() << ",\"answers\":" << (feed->failing() ? "false" : "true")
-        << ",\"source\":" << (feed->source() == RecordFeed::Source::kPeers ? "\"peers\"" : "\"store\"") << "}";
-  }
-  out << "},\"running_requests\":" << caller_server_->running_requests() << "}\n";
-  return out.str();
-}
-
 void Gateway::Describe(proto::GatewayHeartbeat& heartbeat) const {
   auto* self = heartbeat.mutable_sender();
   self->set_host(settings_.host);
--- /dev/null
+++ b/src/libgateway/gateway_status.cpp
@@ -0,0 +1,144 @@
+// What a gateway daemon tells its operators: /status and /traces of the peer listener.
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <sstream>
+
+#include "pimentomoor/gateway.h"
+#include "pimentomoor/http.h"
+#include "pimentomoor/json_text.h"
+
+namespace pimentomoor {
+
+namespace {
+
+constexpr std::size_t kDefaultTraces = 10;
+constexpr std::size_t kMaxMembersShown = 200;   // keeps the answer of a large cell readable
+constexpr std::size_t kMaxSearchersShown = 64;  // that are not ready
+
+const char* Flag(bool value) { return value ? "true" : "false"; }
+
+// Milliseconds since `time`; null when it is unset.
+std::string AgeMs(TimePoint time, TimePoint now) {
+  return time == TimePoint{}
+             ? "null"
+             : std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count());
+}
+
+// States in the order of their weight: a searcher is counted in the first one that holds.
+constexpr std::array<const char*, 7> kSearcherStates = {"misdirected", "draining", "out",  "doubtful",
+                                                        "resting",     "cold",     "ready"};
+constexpr std::size_t kReadyState = kSearcherStates.size() - 1;
+
+std::size_t StateOf(const UpstreamSet& upstreams, const UpstreamLink& link, TimePoint now) {
+  const std::array<bool, kSearcherStates.size()> holds = {link.misdirected(),
+                                                          link.entry().draining,
+                                                          upstreams.outages().contains(link.entry().failure_domain),
+                                                          link.doubtful(),
+                                                          now < link.signals.resting_until,
+                                                          link.cold(now),
+                                                          true};
+  return static_cast<std::size_t>(std::find(holds.begin(), holds.end(), true) - holds.begin());
+}
+
+void RenderServices(std::ostream& out, const UpstreamSet& upstreams, TimePoint now) {
+  std::vector<std::pair<std::string, std::size_t>> unready;
+  out << "\"services\":{";
+  bool first = true;
+  for (const auto& [name, service] : upstreams.services()) {
+    std::array<std::size_t, kSearcherStates.size()> counts{};
+    for (const auto& link : service.links) {
+      const std::size_t state = StateOf(upstreams, *link, now);
+      ++counts[state];
+      if (state != kReadyState) {
+        unready.emplace_back(link->entry().id, state);
+      }
+    }
+    out << (first ? "" : ",") << "\n  " << JsonQuote(name) << ":{";
+    first = false;
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+      out << "\"" << kSearcherStates[i] << "\":" << counts[i] << ",";
+    }
+    out << "\"retries_left\":" << static_cast<std::int64_t>(std::max(0.0, upstreams.RetriesLeft(service))) << "}";
+  }
+  out << "},\n\"unready_searchers\":{";
+  for (std::size_t i = 0; i < std::min(unready.size(), kMaxSearchersShown); ++i) {
+    out << (i == 0 ? "" : ",") << JsonQuote(unready[i].first) << ":\"" << kSearcherStates[unready[i].second] << "\"";
+  }
+  out << "}";
+}
+
+// The counters of `name` as members of a JSON object, by the value of their label.
+void RenderCounters(std::ostream& out, const Metrics& metrics, const char* name, const char* prefix, bool& first) {
+  for (const auto& [labels, value] : metrics.CountersOf(name)) {
+    const std::size_t begin = labels.find('"') + 1;
+    const std::string label = prefix + labels.substr(begin, labels.rfind('"') - begin);
+    out << (first ? "" : ",") << JsonQuote(label) << ":" << value;
+    first = false;
+  }
+}
+
+}  // namespace
+
+bool Gateway::HandleInspection(CallerExchange& exchange) const {
+  const std::string_view path = exchange.request.path();
+  std::string body;
+  if (path == "/status") {
+    body = RenderStatus();
+  } else if (path == "/traces") {
+    const std::string_view target = exchange.request.target;
+    const std::string_view query = target.substr(std::min(path.size() + 1, target.size()));
+    const std::string request_id = QueryParameter(query, "request").substr(0, kMaxTracedIdBytes);
+    const std::string slow = QueryParameter(query, "slow");
+    std::size_t count = kDefaultTraces;
+    std::from_chars(slow.data(), slow.data() + slow.size(), count);
+    body = tracer_.store().RenderSlowest(count, request_id);
+  } else {
+    return false;
+  }
+  exchange.Respond({.fields = "Content-Type: application/json\r\n", .body = std::move(body)});
+  return true;
+}
+
+std::string Gateway::RenderStatus() const {
+  const TimePoint now = loop_.Now();
+  const auto members = peers_->Alive();
+  std::ostringstream out;
+  out << "{\"host\":" << JsonQuote(settings_.host) << ",\"failure_domain\":" << JsonQuote(settings_.failure_domain)
+      << ",\"ready\":" << Flag(ready()) << ",\"stopping\":" << Flag(stopped_ != nullptr)
+      << ",\"running_ms\":" << AgeMs(started_, now)
+      << ",\n\"routing_version\":" << (table_ == nullptr ? 0 : table_->version())
+      << ",\"routing_age_ms\":" << AgeMs(table_since_, now) << ",\n\"daemons_alive\":" << 1 + members.size()
+      << ",\"daemons_counted\":" << upstreams_.daemons() << ",\"members\":[";
+  for (std::size_t i = 0; i < std::min(members.size(), kMaxMembersShown); ++i) {
+    const auto& member = members[i];
+    out << (i == 0 ? "" : ",") << "\n  {\"host\":" << JsonQuote(member.host())
+        << ",\"peer_address\":" << JsonQuote(member.peer_address())
+        << ",\"failure_domain\":" << JsonQuote(member.failure_domain()) << ",\"ready\":" << Flag(member.ready())
+        << ",\"store_answers\":" << Flag(member.store_answers()) << "}";
+  }
+  out << "],\n\"upstreams\":" << upstreams_.announced() << ",";
+  RenderServices(out, upstreams_, now);
+  out << ",\n\"store\":{";
+  for (const auto& feed : feeds_) {
+    out << (feed->kind() == RecordKind::kRouting ? "" : ",") << JsonQuote(ToString(feed->kind()))
+        << ":{\"revision\":" << feed->revision() << ",\"answers\":" << Flag(!feed->failing())
+        << ",\"failing_ms\":" << (feed->failing() ? AgeMs(feed->failing_since(), now) : "null") << ",\"source\":\""
+        << (feed->source() == RecordFeed::Source::kPeers ? "peers" : "store")
+        << "\",\"changed_ms\":" << AgeMs(feed->changed_at(), now) << "}";
+  }
+  out << "},\n\"answers\":{";
+  bool first = true;
+  RenderCounters(out, metrics_, "pimentomoor_run_answers_total", "", first);
+  out << "},\n\"refusals\":{";
+  first = true;
+  RenderCounters(out, metrics_, "pimentomoor_run_refused_total", "", first);
+  RenderCounters(out, metrics_, "pimentomoor_caller_refused_total", "status ", first);
+  out << "},\n\"failures\":{";
+  first = true;
+  RenderCounters(out, metrics_, "pimentomoor_run_failures_total", "", first);
+  out << "},\n\"running_requests\":" << caller_server_->running_requests() << "}\n";
+  return out.str();
+}
+
+}  // namespace pimentomoor
--- a/src/libgateway/record_feed.cpp
+++ b/src/libgateway/record_feed.cpp
@@ -101,6 +101,7 @@
   auto& held = records_[record.name];
   if (held != record) {
     held = record;
+    changed_at_ = loop_.Now();
     handlers_.on_put(held);
   }
 }
@@ -115,6 +116,7 @@
   }
   for (const auto& name : gone) {
     records_.erase(name);
+    changed_at_ = loop_.Now();
     handlers_.on_delete(name);
   }
 }
@@ -147,6 +149,7 @@
       if (event.deleted) {
         content_revision_ = std::max(content_revision_, event.record.revision);
         records_.erase(event.record.name);
+        changed_at_ = loop_.Now();
         handlers_.on_delete(event.record.name);
       } else {
         Put(event.record);
--- a/src/libgateway/request_answer.cpp
+++ b/src/libgateway/request_answer.cpp
@@ -22,9 +22,29 @@
   context_.loop.Cancel(timer_);
   context_.metrics.Count("pimentomoor_run_answers_total", 1, outcome);
   caller_->Respond(response);
+  RecordTrace(response.status, outcome);
   CancelRunning(TimePoint::max());
 }
 
+void RequestRun::RecordTrace(int status, const char* outcome) {
+  if (context_.tracer == nullptr) {
+    return;
+  }
+  const bool success = status >= 200 && status < 300;
+  const std::size_t in = gathers() ? done_parts_ : (success ? 1 : 0);
+  // A caller that left before the objective is no fault of this tier, so it counts as a good end.
+  const bool good = status == 0 || (success && in == parts_.size());
+  context_.tracer->OnRequestEnd(*caller_, trace_,
+                                {.route = route_.name,
+                                 .outcome = outcome,
+                                 .good = good,
+                                 .status = status,
+                                 .parts = in,
+                                 .missing = parts_.size() - in,
+                                 .objective = route_.objective},
+                                context_.loop.Now());
+}
+
 void RequestRun::RespondGather() {
   OutgoingResponse response{.fields = context_.names.parts + ": "};
   bool first = true;
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -193,6 +193,10 @@
   }
   ++part.arrivals;
   ++part.ran;  // taken back when the searcher says or the connection shows that it did not run
+  const SendReason reason = part.tried.empty()     ? SendReason::kFirst
+                            : part.running.empty() ? SendReason::kRetry
+                                                   : SendReason::kHedge;
+  trace_.OnSend(exchange, reason, context_.loop.Now());
   part.tried.push_back(link->entry().id);
   part.running.push_back(exchange);
   part.next_try =
@@ -255,6 +259,7 @@
   if (finished_) {
     return;
   }
+  RunTrace::OnEnd(exchange, outcome, response.status, context_.loop.Now());
   const auto self = shared_from_this();
   const std::size_t index = exchange.part;
   Part& part = parts_[index];
@@ -358,6 +363,7 @@
 void RequestRun::OnCallerGone() {
   finished_ = true;
   context_.loop.Cancel(timer_);
+  RecordTrace(0, "outcome=\"caller left\"");
   CancelRunning(route_.idempotent ? context_.loop.Now() + context_.settings.cancel_after : TimePoint::max());
 }
 
--- a/src/libkernel/metrics.cpp
+++ b/src/libkernel/metrics.cpp
@@ -64,6 +64,14 @@
   return found == counters_.end() ? 0 : found->second;
 }
 
+std::vector<std::pair<std::string, std::uint64_t>> Metrics::CountersOf(std::string_view name) const {
+  std::vector<std::pair<std::string, std::uint64_t>> found;
+  for (auto at = counters_.lower_bound(KeyView(name, "")); at != counters_.end() && at->first.first == name; ++at) {
+    found.emplace_back(at->first.second, at->second);
+  }
+  return found;
+}
+
 std::string Metrics::Render() const {
   std::ostringstream out;
   std::string last;
--- a/src/libkernel/trace.cpp
+++ b/src/libkernel/trace.cpp
@@ -27,8 +27,11 @@
 }
 
 void RenderTrace(std::ostream& out, const Trace& trace) {
-  out << "{\"trace_id\":" << JsonQuote(trace.trace_id) << ",\"duration_us\":" << Microseconds(trace.duration)
-      << ",\"spans\":[";
+  out << "{\"trace_id\":" << JsonQuote(trace.trace_id) << ",\"duration_us\":" << Microseconds(trace.duration);
+  if (!trace.request_id.empty()) {
+    out << ",\"request_id\":" << JsonQuote(trace.request_id);
+  }
+  out << ",\"spans\":[";
   for (std::size_t i = 0; i < trace.spans.size(); ++i) {
     const Span& span = trace.spans[i];
     out << (i == 0 ? "" : ",") << "\n  {\"name\":" << JsonQuote(span.name)
@@ -69,10 +72,12 @@
   }
 }
 
-std::string TraceStore::RenderSlowest(std::size_t count) const {
+std::string TraceStore::RenderSlowest(std::size_t count, std::string_view request_id) const {
   std::vector<const Trace*> slowest;
   for (const auto& trace : traces_) {
-    slowest.push_back(trace.get());
+    if (request_id.empty() || trace->request_id == request_id) {
+      slowest.push_back(trace.get());
+    }
   }
   std::sort(slowest.begin(), slowest.end(),
             [](const Trace* left, const Trace* right) { return left->duration > right->duration; });
--- a/src/libroute/shared_budget.cpp
+++ b/src/libroute/shared_budget.cpp
@@ -39,13 +39,18 @@
   return sum;
 }
 
-bool MayAddExtra(const RetryWindow& window, const RetryBudgetSettings& settings, std::size_t daemons,
-                 TimePoint started, TimePoint now) {
+double ExtrasLeft(const RetryWindow& window, const RetryBudgetSettings& settings, std::size_t daemons,
+                  TimePoint started, TimePoint now) {
   const double grown = std::clamp(
       std::chrono::duration<double>(now - started) / std::chrono::duration<double>(settings.window), 0.0, 1.0);
   const double share = settings.allowance / static_cast<double>(std::max<std::size_t>(daemons, 1));
   const double bound = settings.ratio * window.requests(now, settings.window) + share * grown;
-  return window.extras(now, settings.window) + 1 <= bound * settings.safety;
+  return bound * settings.safety - window.extras(now, settings.window);
+}
+
+bool MayAddExtra(const RetryWindow& window, const RetryBudgetSettings& settings, std::size_t daemons,
+                 TimePoint started, TimePoint now) {
+  return ExtrasLeft(window, settings, daemons, started, now) >= 1;
 }
 
 bool ColdAllowance::Take(TimePoint now, double rate, double slack, std::size_t daemons) {
--- a/src/pimentomoor/status_command.cpp
+++ b/src/pimentomoor/status_command.cpp
@@ -2,7 +2,9 @@
 #include <algorithm>
 #include <iostream>
 
-#include "list_change.h"
+#include "daemon_fetch.h"
+#include "pimentomoor/acceptance.h"
+#include "pimentomoor/cell.h"
 #include "pimentomoor/plugin.h"
 #include "text_table.h"
 
@@ -48,28 +50,13 @@
 }
 
 int ShowStatus(const std::vector<std::string>& daemons, Duration timeout) {
-  const SystemClock clock;
-  EventLoop loop(clock);
-  HttpClient http(loop);
-  std::vector<std::optional<HttpResult>> results(daemons.size());
-  for (std::size_t i = 0; i < daemons.size(); ++i) {
-    http.Call({.target = daemons[i], .path = "/status", .timeout = timeout},
-              [&results, i](const HttpResult& result) { results[i] = result; });
-  }
-  const auto answered = [&] {
-    return std::all_of(results.begin(), results.end(), [](const auto& result) { return result.has_value(); });
-  };
-  loop.RunUntil(answered, timeout + std::chrono::seconds(1));
+  const auto results = FetchAll(daemons, "/status", timeout);
   std::vector<TableRow> rows = {{"DAEMON", "HOST", "EPOCH", "LEASE", "VERSIONS", "OUTAGES", "LEAVING"}};
   std::vector<std::string> errors;
   std::vector<std::string> cells(daemons.size());
   for (std::size_t i = 0; i < daemons.size(); ++i) {
-    const HttpResult result = results[i].value_or(HttpResult{.failure = HttpFailure::kTimeout, .error = "timeout"});
     try {
-      if (!result.ok()) {
-        throw std::runtime_error(result.error.empty() ? "status " + std::to_string(result.status) : result.error);
-      }
-      const DaemonStatus status = ParseDaemonStatus(result.body, "GET " + daemons[i] + "/status");
+      const DaemonStatus status = ParseDaemonStatus(RequireBody(results[i]), "GET " + daemons[i] + "/status");
       rows.push_back(RowOf(daemons[i], status));
       cells[i] = status.cell;
     } catch (const std::exception& error) {
@@ -88,13 +75,9 @@
 int RunStatus(const std::vector<std::string>& args) {
   return RunCommand(args[0], [&] {
     TCLAP::CmdLine line("Shows the status of daemons; exit code 1 when one does not answer", ' ', "", true);
-    TCLAP::MultiArg<std::string> daemons("", "daemon", "HTTP address of a daemon; repeat for more", true, "IP:port",
-                                         line);
-    TCLAP::ValueArg<std::uint32_t> timeout_ms("", "timeout-ms", "Longest wait; default 2000", false, 2'000,
-                                              "milliseconds", line);
+    const DaemonOptions options(line);
     ParseCommandLine(line, args);
-    CheckAddresses("--daemon", daemons.getValue());
-    return ShowStatus(daemons.getValue(), std::chrono::milliseconds(timeout_ms.getValue()));
+    return ShowStatus(options.Daemons(), options.Timeout());
   });
 }
 
