--- a/src/libgateway/gateway_inspection_test.cpp
+++ b/src/libgateway/gateway_inspection_test.cpp
@@ -73,7 +73,7 @@
                 .directory_address = FreeAddress(loop),
                 .peer_address = FreeAddress(loop),
                 .store_address = store.address(),
-                .retry = {.allowance = 100'000}};  // grows from 0 with the age of the process
+                .retry = {.ratio = 10}};  // the allowance of a new process is 0
     gateway = std::make_unique<Gateway>(loop, settings, *codec);
     gateway->Start();
     CHECK(loop.RunUntil([this] { return gateway->ready(); }, std::chrono::seconds(10)));
