--- a/src/include/pimentomoor/sender_set.h
+++ b/src/include/pimentomoor/sender_set.h
@@ -1,8 +1,8 @@
 // Which daemons send to which searchers of a service when the searchers do not take connections from all of them.
 //
 // The daemons stand in an order that is drawn for each service; the one at position p sends to the c searchers that
-// begin at p * c, counted around. So every daemon has the same number of searchers, and every searcher the same number
-// of daemons, up to one. While the searchers take connections from all daemons, the set is all of them.
+// begin at p * c, counted around. So every daemon has the same number of searchers, and every searcher the same
+// number of daemons, up to one. While the searchers take connections from all daemons, the set is all of them.
 #pragma once
 
 #include <cstddef>
--- a/src/include/pimentomoor/shared_budget.h
+++ b/src/include/pimentomoor/shared_budget.h
@@ -43,9 +43,14 @@
   std::array<Slot, kSlots + 1> slots_{};
 };
 
-/// Whether one more extra arrival stays within this daemon's part. `started` is the start of this process: its
-/// predecessor at the same address, or the fewer daemons before it, may have spent the allowance of the last window at
-/// its end. So for one window a new process has the ratio only; a part that grows during this time exceeds the sum.
+/// Extra arrivals that this daemon may still add in the current window; negative when its part has shrunk below what
+/// it has used. `started` is the start of this process: its predecessor at the same address, or the fewer daemons
+/// before it, may have spent the allowance of the last window at its end. So for one window a new process has the
+/// ratio only; a part that grows during this time exceeds the sum.
+double ExtrasLeft(const RetryWindow& window, const RetryBudgetSettings& settings, std::size_t daemons,
+                  TimePoint started, TimePoint now);
+
+/// Whether one more extra arrival stays within this daemon's part.
 bool MayAddExtra(const RetryWindow& window, const RetryBudgetSettings& settings, std::size_t daemons,
                  TimePoint started, TimePoint now);
 
--- /dev/null
+++ b/src/libgateway/request_run_test.cpp
@@ -0,0 +1,95 @@
+// Tests of one request against searchers on loopback.
+#include "pimentomoor/request_run.h"
+
+#include "fixed_searcher.h"
+#include "pimentomoor/platform_codec.h"
+
+// clang-format off
+#include <CppUTest/TestHarness.h>  // last: it redefines operator new
+// clang-format on
+
+namespace pimentomoor {
+
+namespace {
+
+// An address that refuses connections: its listener is closed again.
+std::string RefusingAddress(EventLoop& loop) {
+  return TcpListener(loop, "127.0.0.1:0", [](int) {}).address();
+}
+
+}  // namespace
+
+TEST_GROUP(RequestRun) {
+  SystemClock clock_;
+  EventLoop loop_{clock_};
+  Metrics metrics_;
+  std::unique_ptr<PlatformCodec> codec_ = MakePlatformCodec();
+  UpstreamSet upstreams_{
+      {.loop = loop_, .metrics = metrics_, .names = codec_->field_names(), .failure_domain = "a"}, {}, {}};
+  CrashReports crashes_{1};
+  RunContext runs_{.loop = loop_,
+                   .metrics = metrics_,
+                   .names = codec_->field_names(),
+                   .upstreams = upstreams_,
+                   .crashes = crashes_};
+  FixedSearcher searcher_{loop_};
+  RoutingTableSpec spec_{.version = 1};
+
+  void AddShard(RouteSpec & route, const std::string& address) {
+    const std::string service = "shard-" + std::to_string(route.shards.size());
+    route.shards.push_back(service);
+    spec_.services.push_back({.name = service, .max_connections = 30});
+    upstreams_.Announce(
+        {.id = "id-" + service, .service = service, .address = address, .failure_domain = "a", .slots = 3});
+  }
+
+  std::uint64_t Answers(const char* outcome) { return metrics_.counter("pimentomoor_run_answers_total", outcome); }
+
+  std::shared_ptr<CallerExchange> StartRequest(const RouteSpec& route) {
+    spec_.routes.push_back(route);
+    upstreams_.ApplyServices(spec_.services);
+    const auto table = std::make_shared<RoutingTable>(spec_);
+    RequestMessage message{.method = "GET", .target = "/q", .host = "h", .request_id = "0123456789abcdef"};
+    auto caller = std::make_shared<CallerExchange>(nullptr, std::move(message), loop_.Now(), false);
+    std::make_shared<RequestRun>(runs_, caller, table, table->spec().routes.front())->Start();
+    return caller;
+  }
+};
+
+// Guards against an answer at the time limit with enough parts in: a shard whose searcher refuses every connection
+// failed its part again and again, and each failure passed over the objective (incident inc-9155).
+TEST(RequestRun, GatherAnswersAtItsObjectiveWhileASearcherRefusesConnections) {
+  RouteSpec route{.name = "r", .host = "h", .prefix = "/", .idempotent = true, .attempts = 2, .min_share = 0.7};
+  route.objective = std::chrono::milliseconds(100);
+  route.timeout = std::chrono::seconds(3);
+  route.top_records = 5;
+  for (int i = 0; i < 4; ++i) {
+    AddShard(route, searcher_.address());
+  }
+  AddShard(route, RefusingAddress(loop_));
+  const TimePoint started = loop_.Now();
+  const auto caller = StartRequest(route);
+  CHECK(loop_.RunUntil([&] { return Answers("outcome=\"partial\"") == 1; }, std::chrono::seconds(2)));
+  CHECK(loop_.Now() - started < 3 * route.objective);
+  // A part that is sent again each millisecond would be refused dozens of times.
+  CHECK(metrics_.counter("pimentomoor_upstream_connect_failures_total") <= 5);
+  caller->on_gone = nullptr;
+}
+
+// Guards against sending a request that crashed three searchers to more of them.
+TEST(RequestRun, RefusesARequestThatCrashedSearchers) {
+  RouteSpec route{.name = "r", .host = "h", .prefix = "/", .idempotent = true, .attempts = 2};
+  AddShard(route, searcher_.address());
+  const std::uint64_t fingerprint = FingerprintRequest("GET", "h", "/q", "");
+  crashes_.Add(fingerprint, "first attempt", loop_.Now());
+  crashes_.Add(fingerprint, "first attempt", loop_.Now());
+  crashes_.Add(fingerprint, "first attempt", loop_.Now());
+  CHECK_FALSE(crashes_.IsRefused(fingerprint, loop_.Now()));  // two of one attempt count
+  crashes_.Merge({.fingerprint = fingerprint, .reporter = 2, .crashes = 1}, loop_.Now());
+  const auto caller = StartRequest(route);
+  CHECK_EQUAL(1U, Answers("outcome=\"refused\""));
+  CHECK_EQUAL(0U, runs_.parts_sent);
+  caller->on_gone = nullptr;
+}
+
+}  // namespace pimentomoor
--- a/src/libroute/shared_budget.cpp
+++ b/src/libroute/shared_budget.cpp
@@ -39,15 +39,20 @@
   return sum;
 }
 
-bool MayAddExtra(const RetryWindow& window, const RetryBudgetSettings& settings, std::size_t daemons,
-                 TimePoint started, TimePoint now) {
+double ExtrasLeft(const RetryWindow& window, const RetryBudgetSettings& settings, std::size_t daemons,
+                  TimePoint started, TimePoint now) {
   // Daemons learn of each other within half a second; until then, each may add by a larger share.
   constexpr Duration kHeardWithin = std::chrono::milliseconds(500);
   const bool window_passed = now - started >= settings.window + kHeardWithin;
   const double share =
       window_passed ? settings.allowance / static_cast<double>(std::max<std::size_t>(daemons, 1)) : 0.0;
   const double bound = settings.ratio * window.requests(now, settings.window) + share;
-  return window.extras(now, settings.window) + 1 <= bound * settings.safety;
+  return bound * settings.safety - window.extras(now, settings.window);
+}
+
+bool MayAddExtra(const RetryWindow& window, const RetryBudgetSettings& settings, std::size_t daemons,
+                 TimePoint started, TimePoint now) {
+  return ExtrasLeft(window, settings, daemons, started, now) >= 1;
 }
 
 bool ColdAllowance::Take(TimePoint now, double rate, double slack, std::size_t daemons) {
--- a/src/testsuite/bench_gateway.cpp
+++ b/src/testsuite/bench_gateway.cpp
@@ -1,9 +1,9 @@
 // Cost of the gateway for each part of a query and for a forwarded request. The searchers of this measurement answer
 // fixed bytes without reading the request, so their share of the processor time is two system calls for each part.
-#include <deque>
 #include <memory>
 
 #include "bench_parts.h"
+#include "fixed_searcher.h"
 #include "pimentomoor/platform_codec.h"
 #include "pimentomoor/request_run.h"
 
@@ -13,34 +13,6 @@
 
 constexpr int kRuns = 5;
 constexpr int kQueriesPerRun = 40;
-constexpr std::size_t kRecordsPerPart = 12;
-
-class FixedSearcher {
- public:
-  explicit FixedSearcher(EventLoop& loop)
-      : loop_(loop), listener_(loop, "127.0.0.1:0", [this](int fd) { connections_.emplace_back(loop_, fd); }) {}
-
-  [[nodiscard]] std::string address() const { return listener_.address(); }
-
- private:
-  struct Connection final : TcpStreamHandler {
-    Connection(EventLoop& loop, int fd) : stream(std::make_unique<TcpStream>(loop, fd, *this)) {}
-    void OnData(std::string_view /*bytes*/) override {
-      static const std::string response =
-          "HTTP/1.1 200 OK\r\nX-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: " +
-          std::to_string(kRecordsPerPart * kRecordBytes) + "\r\n\r\n" +
-          std::string(kRecordsPerPart * kRecordBytes, 'r');
-      stream->Write(response);
-    }
-    void OnEnd(StreamEnd /*end*/) override { stream.reset(); }
-    static constexpr std::size_t kRecordBytes = 16;
-    std::unique_ptr<TcpStream> stream;
-  };
-
-  EventLoop& loop_;
-  std::deque<Connection> connections_;
-  TcpListener listener_;
-};
 
 // A gateway's request path over `parts` shards of one searcher each.
 class GatewayBench {
--- /dev/null
+++ b/src/testsuite/fixed_searcher.h
@@ -0,0 +1,41 @@
+// A searcher that answers fixed bytes to whatever arrives, for measurements and tests of the request path.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "pimentomoor/event_loop.h"
+#include "pimentomoor/tcp_stream.h"
+
+namespace pimentomoor {
+
+constexpr std::size_t kFixedRecords = 12;  // in each answer
+
+class FixedSearcher {
+ public:
+  explicit FixedSearcher(EventLoop& loop)
+      : loop_(loop), listener_(loop, "127.0.0.1:0", [this](int fd) { connections_.emplace_back(loop_, fd); }) {}
+
+  [[nodiscard]] std::string address() const { return listener_.address(); }
+
+ private:
+  struct Connection final : TcpStreamHandler {
+    Connection(EventLoop& loop, int fd) : stream(std::make_unique<TcpStream>(loop, fd, *this)) {}
+    void OnData(std::string_view /*bytes*/) override {
+      static const std::string response =
+          "HTTP/1.1 200 OK\r\nX-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: " +
+          std::to_string(kFixedRecords * kRecordBytes) + "\r\n\r\n" + std::string(kFixedRecords * kRecordBytes, 'r');
+      stream->Write(response);
+    }
+    void OnEnd(StreamEnd /*end*/) override { stream.reset(); }
+    static constexpr std::size_t kRecordBytes = 16;
+    std::unique_ptr<TcpStream> stream;
+  };
+
+  EventLoop& loop_;
+  std::deque<Connection> connections_;
+  TcpListener listener_;
+};
+
+}  // namespace pimentomoor
