--- a/src/include/pimentomoor/sender_set.h
+++ b/src/include/pimentomoor/sender_set.h
@@ -12,6 +12,9 @@
 
 namespace pimentomoor {
 
+/// Position of the daemon `self` among it and `others`, in an order that is drawn for `key`; 0 is the first.
+std::size_t PositionOf(std::string_view key, std::string_view self, std::span<const std::string> others);
+
 /// The searchers of one service that a daemon sends to.
 struct SenderShare {
   std::size_t first = 0;    // index of the first searcher, before counting around
--- a/src/include/pimentomoor/shared_budget.h
+++ b/src/include/pimentomoor/shared_budget.h
@@ -54,6 +54,10 @@
 bool MayAddExtra(const RetryWindow& window, const RetryBudgetSettings& settings, std::size_t daemons,
                  TimePoint started, TimePoint now);
 
+/// How many of `daemons` may send to one cold upstream: each needs the allowance of a whole request, and together
+/// they have `slack` requests.
+std::size_t ColdSenders(double slack, std::size_t daemons);
+
 /// Requests that a cold upstream may get from this daemon: a token bucket with this daemon's part of the rate.
 class ColdAllowance {
  public:
--- a/src/libgateway/upstream_set.cpp
+++ b/src/libgateway/upstream_set.cpp
@@ -135,8 +135,13 @@
   if (!link.cold(now) || service.spec.cold_rate <= 0) {
     return true;
   }
+  const double slack = cold_.slack * cold_.safety;
+  const std::size_t senders = ColdSenders(slack, others_.size() + 1);
+  if (PositionOf(link.entry().id, self_, others_) >= senders) {
+    return false;
+  }
   const double rate = service.spec.cold_rate * cold_.rate_factor * cold_.safety;
-  return link.cold_allowance.Take(now, rate, cold_.slack * cold_.safety, daemons_);
+  return link.cold_allowance.Take(now, rate, slack, senders);
 }
 
 bool UpstreamSet::MayRetry(const ServiceState& service) const {
--- a/src/libroute/sender_set.cpp
+++ b/src/libroute/sender_set.cpp
@@ -26,15 +26,19 @@
 
 }  // namespace
 
+std::size_t PositionOf(std::string_view key, std::string_view self, std::span<const std::string> others) {
+  const std::uint64_t own = HashPair(key, self);
+  return static_cast<std::size_t>(std::count_if(
+      others.begin(), others.end(), [&](const std::string& other) { return HashPair(key, other) < own; }));
+}
+
 SenderShare ShareOfSearchers(std::string_view service, std::string_view self, std::span<const std::string> others,
                              std::size_t searchers, std::size_t connections) {
   const std::size_t daemons = others.size() + 1;
   if (searchers == 0 || connections >= daemons) {
     return {.count = searchers, .senders = daemons};
   }
-  const std::uint64_t own = HashPair(service, self);
-  const auto position = static_cast<std::size_t>(std::count_if(
-      others.begin(), others.end(), [&](const std::string& other) { return HashPair(service, other) < own; }));
+  const std::size_t position = PositionOf(service, self, others);
   const std::size_t count = std::clamp<std::size_t>(connections * searchers / daemons, 1, searchers);
   // The shares follow each other around the searchers, so that they overlap evenly.
   return {.first = position * count, .count = count, .senders = (daemons * count + searchers - 1) / searchers};
--- a/src/libroute/shared_budget.cpp
+++ b/src/libroute/shared_budget.cpp
@@ -55,6 +55,11 @@
   return ExtrasLeft(window, settings, daemons, started, now) >= 1;
 }
 
+std::size_t ColdSenders(double slack, std::size_t daemons) {
+  return std::clamp<std::size_t>(static_cast<std::size_t>(std::max(slack, 1.0)), 1,
+                                 std::max<std::size_t>(daemons, 1));
+}
+
 bool ColdAllowance::Take(TimePoint now, double rate, double slack, std::size_t daemons) {
   const double parts = static_cast<double>(std::max<std::size_t>(daemons, 1));
   const double capacity = std::max(1.0, slack / parts);
--- a/src/libroute/shared_budget_test.cpp
+++ b/src/libroute/shared_budget_test.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <vector>
 
+#include "pimentomoor/sender_set.h"
 #include "property.h"
 
 // CppUTest's macros come last, because they redefine names that other headers use.
@@ -175,18 +176,25 @@
   }));
 }
 
-// Guards against a cold searcher that is flooded because all daemons send at once after a time without requests. Each
-// daemon may hold one request, so the bound covers 5 daemons, and more when the rate is high enough.
+// Guards against a cold searcher that is flooded because all daemons send at once after a time without requests.
 TEST(SharedBudget, ColdSearcherGetsNoMoreThanItsRate) {
   CHECK(CheckProperty(500, "requests to a cold searcher", [] {
-    const auto daemons = *rc::gen::inRange<std::size_t>(1, 9);
-    const double rate = *rc::gen::inRange(daemons <= 5 ? 1 : 3 * static_cast<int>(daemons - 5), 40);
+    constexpr double kSlack = 3.5;  // 0.7 of 5, as UpstreamSet calls it
+    const auto daemons = *rc::gen::inRange<std::size_t>(1, 63);
+    const double rate = *rc::gen::inRange(1, 40);
+    const std::size_t senders = ColdSenders(kSlack, daemons);
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < daemons; ++i) {
+      names.push_back("10.0.0." + std::to_string(i) + ":8104");
+    }
     std::vector<ColdAllowance> allowances(daemons);
     std::vector<double> sent(200);
     for (std::size_t step = 0; step < sent.size(); step += *rc::gen::inRange<std::size_t>(1, 60)) {
-      for (auto& allowance : allowances) {
-        // As UpstreamSet calls it: 0.7 of rate x 1.5 + 5.
-        while (allowance.Take(kStart + static_cast<int>(step) * kStep, rate * 1.05, 3.5, daemons)) {
+      for (std::size_t i = 0; i < daemons; ++i) {
+        std::vector<std::string> others = names;
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(i));
+        while (PositionOf("searcher", names[i], others) < senders &&
+               allowances[i].Take(kStart + static_cast<int>(step) * kStep, rate * 1.05, kSlack, senders)) {
           sent[step] += 1;
         }
       }
