--- a/src/libgateway/gateway_inspection_test.cpp
+++ b/src/libgateway/gateway_inspection_test.cpp
@@ -135,7 +135,7 @@
 TEST(RunTracer, RecordsASampleAndWithinItsRate) {
   Metrics metrics;
   RunTracer tracer(metrics, "h", {.sample_every = 4, .rate = 1, .burst = 3});
-  const CallerExchange caller(nullptr, {.request_id = "r"}, TimePoint(std::chrono::seconds(1)));
+  const CallerExchange caller(nullptr, {.request_id = "r"}, TimePoint(std::chrono::seconds(1)), false);
   const auto end = [&](bool success, milliseconds after) {
     tracer.OnRequestEnd(caller, {}, {.good = success, .objective = milliseconds(100)}, caller.received_at + after);
     return metrics.counter("pimentomoor_trace_recorded_total");
