--- a/src/libgateway/object_codec_test.cpp
+++ b/src/libgateway/object_codec_test.cpp
@@ -68,9 +68,9 @@
        {"", "{", "[]", "null", R"({"version":1})", R"({"version":1,"routes":{},"services":[]})",
         R"({"version":1,"routes":[{}],"services":[]})", R"({"version":1,"routes":[7],"services":[]})",
         R"({"version":-1,"routes":[],"services":[]})", R"({"version":1,"routes":[],"services":[{}]})"}) {
-    CHECK_THROWS(FormatError, codec->ParseRouting(body));
-    CHECK_THROWS(FormatError, codec->ParsePage(body));
-    CHECK_THROWS(FormatError, codec->ParseEvents(body));
+    CHECK_THROWS(FormatError, static_cast<void>(codec->ParseRouting(body)));
+    CHECK_THROWS(FormatError, static_cast<void>(codec->ParsePage(body)));
+    CHECK_THROWS(FormatError, static_cast<void>(codec->ParseEvents(body)));
   }
 }
 
--- a/src/libnet/http1_message_test.cpp
+++ b/src/libnet/http1_message_test.cpp
@@ -52,7 +52,7 @@
     status = reader.Read(view);
     rest.erase(0, rest.size() - view.size());
     view = at + size < bytes.size() ? std::string_view(bytes).substr(at + size) : "";
-    rest += status == ReadStatus::kNeedMore ? "" : view;
+    rest += status == ReadStatus::kNeedMore ? std::string_view() : view;
   }
   return status;
 }
