Avoid a functional cast in a test of the message readers

Cause: the linter reads std::string_view(bytes) as a C-style cast. Change: a named view of the same bytes. Before / after: 1 finding / 0 in this file.

--- a/src/libnet/http1_message_test.cpp
+++ b/src/libnet/http1_message_test.cpp
@@ -45,13 +45,14 @@
 // piece.
 template <typename Reader>
 ReadStatus ReadInPieces(Reader& reader, const std::string& bytes, std::size_t size, std::string& rest) {
+  const std::string_view all = bytes;
   ReadStatus status = ReadStatus::kNeedMore;
   for (std::size_t at = 0; status == ReadStatus::kNeedMore && at < bytes.size(); at += size) {
     rest += bytes.substr(at, size);
     std::string_view view = rest;
     status = reader.Read(view);
     rest.erase(0, rest.size() - view.size());
-    view = at + size < bytes.size() ? std::string_view(bytes).substr(at + size) : "";
+    view = at + size < all.size() ? all.substr(at + size) : std::string_view();
     rest += status == ReadStatus::kNeedMore ? std::string_view() : view;
   }
   return status;
