Rename the routing table's service, whose name another type has

Ruled out: a fault in ParseDeployment, which has not changed. Change: RoutedServiceSpec. A scan of all headers finds no other name that stands twice.

--- a/src/include/pimentomoor/routing_table.h
+++ b/src/include/pimentomoor/routing_table.h
@@ -39,14 +39,14 @@
   friend bool operator==(const RouteSpec&, const RouteSpec&) = default;
 };
 
-struct ServiceSpec {
+struct RoutedServiceSpec {
   std::string name;
   std::string health_path;
   unsigned max_connections = 1;  // to one searcher, from all callers together
   Duration cold_duration{};      // after the start of a searcher
   double cold_rate = 0;          // requests per second that a cold searcher bears; 0 states no limit
 
-  friend bool operator==(const ServiceSpec&, const ServiceSpec&) = default;
+  friend bool operator==(const RoutedServiceSpec&, const RoutedServiceSpec&) = default;
 };
 
 /// What callers may send, and how long they may take.
@@ -62,7 +62,7 @@
 struct RoutingTableSpec {
   std::uint64_t version = 0;
   std::vector<RouteSpec> routes;
-  std::vector<ServiceSpec> services;
+  std::vector<RoutedServiceSpec> services;
   CallerLimits limits;
 
   friend bool operator==(const RoutingTableSpec&, const RoutingTableSpec&) = default;
--- a/src/include/pimentomoor/upstream_set.h
+++ b/src/include/pimentomoor/upstream_set.h
@@ -27,7 +27,7 @@
 /// routing table.
 struct ServiceState {
   std::string name;
-  ServiceSpec spec;
+  RoutedServiceSpec spec;
   std::vector<std::shared_ptr<UpstreamLink>> links;  // of searchers that are announced, ordered by id
   RetryWindow retries;
 };
@@ -46,7 +46,7 @@
 
   /// Failure domains that operators took out: nothing new goes to their searchers.
   void SetOutages(std::set<std::string> failure_domains);
-  void ApplyServices(const std::vector<ServiceSpec>& services);
+  void ApplyServices(const std::vector<RoutedServiceSpec>& services);
   void SetBudgets(const RetryBudgetSettings& retry, const ColdSettings& cold) {
     retry_ = retry;
     cold_ = cold;
--- a/src/libgateway/upstream_set.cpp
+++ b/src/libgateway/upstream_set.cpp
@@ -93,7 +93,7 @@
   }
 }
 
-void UpstreamSet::ApplyServices(const std::vector<ServiceSpec>& services) {
+void UpstreamSet::ApplyServices(const std::vector<RoutedServiceSpec>& services) {
   for (const auto& spec : services) {
     ServiceState& service = Service(spec.name);
     if (service.spec != spec) {
