Bound extra arrivals by the requests of the window before, and count daemons for 15 minutes

Cause: a daemon's part of the retry bound came from its own requests in the window that ended at that moment. Daemons that were cut off for over 30 s, and a new one that had heard nobody, each divided the allowance among themselves.

Ruled out: counting the requests of half a window (halves the budget at a steady load); a lease in the store (a call for each renewal).

Change: SteadyRequests() takes the fewest requests of any span that ended within the last window; the window before any window of extras holds at least their sum. Daemons are counted for 15 minutes, heartbeats tell how many the sender counts, and a daemon that has heard no other takes no allowance unless it has no seeds.

--- a/src/include/pimentomoor/config_lists.h
+++ b/src/include/pimentomoor/config_lists.h
@@ -144,4 +144,8 @@
 /// True for "IPv4:port" in its only spelling: four decimal numbers and a port from 1 to 65535, no leading zeros.
 bool IsSocketAddress(std::string_view text);
 
+/// An address in a settings file. Throw ConfigError when the text is none.
+std::string ReadAddress(const YamlNode& node, std::string_view source, std::string_view path);
+std::string RequireAddress(YamlMapReader& reader, std::string_view key);
+
 }  // namespace pimentomoor
--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -69,6 +69,8 @@
   [[nodiscard]] bool StoreAnswers() const;
   void FetchFromPeer(const std::string& address, RecordFeed& feed);
   void Tick();
+  /// Applies the list of live daemons to budgets, connections and the source of changes.
+  void ApplyMembers();
   void WaitForRequests(TimePoint stop_at);
 
   RecordFeed& feed(RecordKind kind) { return *feeds_[static_cast<std::size_t>(kind)]; }
@@ -95,6 +97,7 @@
   };
   std::array<PeerNews, kRecordKinds> news_;
   TimePoint started_{};
+  TimePoint members_applied_{};
   TimePoint load_measured_{};
   std::uint64_t parts_at_measure_ = 0;
   double parts_per_s_ = 0;                   // smoothed
--- a/src/include/pimentomoor/member_list.h
+++ b/src/include/pimentomoor/member_list.h
@@ -18,11 +18,14 @@
 
 struct MemberListOptions {
   Duration alive_for = std::chrono::milliseconds(1'600);  // after the last heartbeat
-  Duration counted_for = std::chrono::seconds(30);        // in shared budgets, after it was last alive
-  std::size_t own_domain_targets = 2;                     // daemons of its failure domain that get its heartbeats
-  std::size_t other_domain_targets = 1;                   // of each other failure domain
-  std::size_t max_members = 256;                          // more are ignored
-  std::size_t max_member_bytes = 1'024;                   // encoded; a larger member is malformed
+  // In shared budgets, after it was last alive. Longer than regions lose each other: the parts of a cell that was cut
+  // would otherwise each divide the whole allowance among themselves.
+  Duration counted_for = std::chrono::minutes(15);
+  Duration remembered_for = std::chrono::seconds(30);  // what a silent daemon told, to tell others of its end
+  std::size_t own_domain_targets = 2;                  // daemons of its failure domain that get its heartbeats
+  std::size_t other_domain_targets = 1;                // of each other failure domain
+  std::size_t max_members = 256;                       // more are ignored
+  std::size_t max_member_bytes = 1'024;                // encoded; a larger member is malformed
 
   friend bool operator==(const MemberListOptions&, const MemberListOptions&) = default;
 };
@@ -49,7 +52,8 @@
   [[nodiscard]] std::vector<std::string> Targets(TimePoint now) const;
   /// Peer addresses of daemons that sent to this one lately: they get news at once.
   [[nodiscard]] std::vector<std::string> Listeners(TimePoint now) const;
-  /// Daemons that share budgets, this one included: alive now or within counted_for.
+  /// Daemons that share budgets, this one included: alive now or within counted_for, here or as another daemon counts
+  /// them. 0 while no other daemon has been heard.
   [[nodiscard]] std::size_t CountForBudgets(TimePoint now);
 
  private:
@@ -57,6 +61,7 @@
     proto::GatewayMember member;
     TimePoint at;
     std::uint64_t changed_version = 0;  // of this daemon's list
+    std::size_t counted = 0;            // daemons that it counts itself
     bool listed_alive = true;           // as the list last told it
   };
   struct Reported {
@@ -73,7 +78,7 @@
   MemberListOptions options_;
   std::map<std::string, Heard> heard_;           // by peer address
   std::map<std::string, Reported> reported_;     // by the peer address of the daemon that reported
-  std::map<std::string, TimePoint> last_alive_;  // at most max_members
+  std::map<std::string, TimePoint> last_alive_;  // at most max_members; empty only before the first one is heard
   std::uint64_t version_ = 0;                    // grows with each change of heard_
 };
 
--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -98,7 +98,7 @@
   [[nodiscard]] std::shared_ptr<UpstreamLink> ChooseLink(Part& part, Candidates allowed);
   [[nodiscard]] bool MaySendAgain(const Part& part) const;
 
-  void OnPartAnswered(std::size_t index, Exchange& exchange, ResponseMessage& response);
+  void OnPartAnswered(std::size_t index, ResponseMessage& response);
   void OnPartFailed(std::size_t index);
   [[nodiscard]] bool IsPart(const ResponseMessage& response) const;
   void FinishPart(Part& part);
--- a/src/include/pimentomoor/shared_budget.h
+++ b/src/include/pimentomoor/shared_budget.h
@@ -26,27 +26,32 @@
   void CountRequest(TimePoint now, Duration window);
   void CountExtra(TimePoint now, Duration window);
 
-  /// Sums over the last window and the current, unfinished slot.
-  [[nodiscard]] double requests(TimePoint now, Duration window) const;
+  /// The fewest requests in any span of almost a window that ended within the last window. Windows of extra arrivals
+  /// slide, and daemons spend at different times; the window before any of theirs holds at least the sum of these.
+  [[nodiscard]] double SteadyRequests(TimePoint now, Duration window) const;
+  /// Extra arrivals over the last window and the current, unfinished slot.
   [[nodiscard]] double extras(TimePoint now, Duration window) const;
 
  private:
-  static constexpr std::size_t kSlots = 20;
+  static constexpr std::size_t kSlots = 20;              // of a window
+  static constexpr std::size_t kKeptSlots = 2 * kSlots;  // beside the current one
   struct Slot {
     std::int64_t index = -1;  // number of the slot since the clock's start
     std::uint32_t requests = 0;
     std::uint32_t extras = 0;
   };
   static std::int64_t IndexAt(TimePoint now, Duration window);
+  static std::size_t PlaceOf(std::int64_t index) { return static_cast<std::size_t>(index) % (kKeptSlots + 1); }
   Slot& SlotAt(TimePoint now, Duration window);
 
-  std::array<Slot, kSlots + 1> slots_{};
+  std::array<Slot, kKeptSlots + 1> slots_{};
 };
 
 /// Extra arrivals that this daemon may still add in the current window; negative when its part has shrunk below what
-/// it has used. `started` is the start of this process: its predecessor at the same address, or the fewer daemons
-/// before it, may have spent the allowance of the last window at its end. So for one window a new process has the
-/// ratio only; a part that grows during this time exceeds the sum.
+/// it has used. `daemons` is 0 while it is unknown; the daemon then has the ratio only. `started` is the start of
+/// this process: its predecessor at the same address, or the fewer daemons before it, may have spent the allowance of
+/// the last window at its end. So for one window a new process has the ratio only; a part that grows during this time
+/// exceeds the sum.
 double ExtrasLeft(const RetryWindow& window, const RetryBudgetSettings& settings, std::size_t daemons,
                   TimePoint started, TimePoint now);
 
--- a/src/include/pimentomoor/upstream_set.h
+++ b/src/include/pimentomoor/upstream_set.h
@@ -51,8 +51,8 @@
     retry_ = retry;
     cold_ = cold;
   }
-  /// Number of daemons that share budgets, and the peer addresses of this one and of the others that are alive, among
-  /// which the searchers' connections are divided.
+  /// Number of daemons that share budgets (0 while it is unknown), and the peer addresses of this one and of the
+  /// others that are alive, among which the searchers' connections are divided.
   void SetDaemons(std::size_t counted, const std::string& self, std::vector<std::string> others);
   [[nodiscard]] std::size_t daemons() const { return daemons_; }
 
@@ -87,7 +87,7 @@
   RetryBudgetSettings retry_;
   ColdSettings cold_;
   TimePoint started_;
-  std::size_t daemons_ = 1;
+  std::size_t daemons_ = 0;
   std::string self_;
   std::vector<std::string> others_;
   std::map<std::string, ServiceState> services_;
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(25);
+constexpr Duration kMembersInterval = std::chrono::milliseconds(100);  // a quarter of that of heartbeats
 // An entry that expired while the store was away is back within two seconds of its return.
 constexpr Duration kRemovalDelay = std::chrono::milliseconds(2'200);
 constexpr Duration kRoutingWatchInterval = std::chrono::milliseconds(120);
@@ -113,17 +114,27 @@
 bool Gateway::ready() const { return table_ != nullptr && feed(RecordKind::kUpstreams).loaded() && !stopped_; }
 
 void Gateway::Tick() {
-  // Searchers' connections are divided among the daemons that callers are told to use.
-  std::vector<std::string> others = Entries();
-  std::erase(others, settings_.caller_address);
-  upstreams_.SetDaemons(peers_->CountForBudgets(), settings_.caller_address, std::move(others));
+  if (loop_.Now() - members_applied_ >= kMembersInterval) {
+    members_applied_ = loop_.Now();
+    ApplyMembers();
+  }
   MeasureLoad();
   upstreams_.Sweep();
-  ChooseSource();
   CatchUp();
   tick_timer_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
 }
 
+void Gateway::ApplyMembers() {
+  // Searchers' connections are divided among the daemons that callers are told to use.
+  std::vector<std::string> others = Entries();
+  std::erase(others, settings_.caller_address);
+  const bool has_seeds = std::any_of(settings_.seed_peers.begin(), settings_.seed_peers.end(),
+                                     [this](const std::string& seed) { return seed != settings_.peer_address; });
+  const std::size_t counted = peers_->CountForBudgets();
+  upstreams_.SetDaemons(counted == 0 && !has_seeds ? 1 : counted, settings_.caller_address, std::move(others));
+  ChooseSource();
+}
+
 void Gateway::MeasureLoad() {
   const TimePoint now = loop_.Now();
   const double seconds = std::chrono::duration<double>(now - load_measured_).count();
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -14,14 +14,6 @@
 constexpr std::uint64_t kMaxTtlS = 60;
 constexpr double kMaxSeconds = 3'600;
 
-std::string RequireAddress(YamlMapReader& reader, std::string_view key) {
-  std::string address = reader.RequireText(key, kMaxNameBytes);
-  if (!IsSocketAddress(address)) {
-    reader.Fail(reader.Require(key).line, key, QuoteForError(address) + " is not an IP number and a port");
-  }
-  return address;
-}
-
 // A decimal number in [min, max]; an empty or missing value gives `fallback`.
 double OptionalDecimal(YamlMapReader& reader, std::string_view key, double fallback, double min, double max) {
   const std::string text = reader.OptionalText(key, kMaxNameBytes);
@@ -52,10 +44,7 @@
   std::vector<std::string> seeds;
   for (const auto& item : reader.OptionalSequence("seed_peers", kMaxSeeds)) {
     reader.Check([&] {
-      const std::string address = YamlText(item, source, "seed_peers", kMaxNameBytes);
-      if (!IsSocketAddress(address)) {
-        reader.Fail(item.line, "seed_peers", QuoteForError(address) + " is not an IP number and a port");
-      }
+      const std::string address = ReadAddress(item, source, reader.PathOf("seed_peers"));
       seeds.push_back(address.substr(0, address.rfind(':')) + port);
     });
   }
--- a/src/libgateway/member_list.cpp
+++ b/src/libgateway/member_list.cpp
@@ -3,22 +3,12 @@
 
 #include <algorithm>
 
-#include "../libnet/socket_address.h"
+#include "pimentomoor/config_lists.h"
 
 namespace pimentomoor {
 
 namespace {
 
-// Whether `text` is the one spelling of its address. Others, for example with a NUL after the IP number, would list
-// one daemon twice and pass for another address than the own.
-bool IsAddress(const std::string& text) {
-  try {
-    return FormatSocketAddress(ParseSocketAddress(text)) == text;
-  } catch (const std::invalid_argument&) {
-    return false;
-  }
-}
-
 bool SameMember(const proto::GatewayMember& left, const proto::GatewayMember& right) {
   return left.incarnation() == right.incarnation() && left.ready() == right.ready() &&
          left.store_answers() == right.store_answers() && left.load_parts_per_s() == right.load_parts_per_s() &&
@@ -33,8 +23,8 @@
 
 bool MemberList::IsComplete(const proto::GatewayMember& member) const {
   // The size counts unknown fields as well, which protobuf keeps and sends on.
-  return IsAddress(member.peer_address()) && IsAddress(member.caller_address()) && !member.failure_domain().empty() &&
-         member.ByteSizeLong() <= options_.max_member_bytes;
+  return IsSocketAddress(member.peer_address()) && IsSocketAddress(member.caller_address()) &&
+         !member.failure_domain().empty() && member.ByteSizeLong() <= options_.max_member_bytes;
 }
 
 bool MemberList::Receive(const proto::GatewayHeartbeat& heartbeat, TimePoint now) {
@@ -49,6 +39,9 @@
     heard.changed_version = ++version_;
   }
   heard.member = sender;
+  if (heartbeat.counted_daemons() > 0) {  // news of a changed state does not tell it
+    heard.counted = heartbeat.counted_daemons();
+  }
   heard.at = now;
   heard.listed_alive = true;
   if (heartbeat.reply()) {
@@ -84,6 +77,7 @@
 proto::GatewayHeartbeat MemberList::MakeHeartbeat(const std::string& address) const {
   proto::GatewayHeartbeat heartbeat;
   *heartbeat.mutable_sender() = self_;
+  heartbeat.set_counted_daemons(static_cast<std::uint32_t>(1 + last_alive_.size()));
   if (const auto found = reported_.find(address); found != reported_.end()) {
     heartbeat.set_known_version(found->second.version);
     heartbeat.set_known_incarnation(found->second.incarnation);
@@ -96,6 +90,7 @@
   proto::GatewayHeartbeat reply;
   *reply.mutable_sender() = self_;
   reply.set_reply(true);
+  reply.set_counted_daemons(static_cast<std::uint32_t>(1 + last_alive_.size()));
   reply.set_list_version(version_);
   const std::uint64_t known = heartbeat.known_incarnation() == self_.incarnation() ? heartbeat.known_version() : 0;
   for (const auto& [address, heard] : heard_) {
@@ -175,9 +170,13 @@
       last_alive_[member.peer_address()] = now;
     }
   }
-  std::erase_if(heard_, [&](const auto& entry) { return now - entry.second.at >= options_.counted_for; });
-  std::erase_if(reported_, [&](const auto& entry) { return now - entry.second.at >= options_.counted_for; });
-  return 1 + last_alive_.size();
+  std::erase_if(heard_, [&](const auto& entry) { return now - entry.second.at >= options_.remembered_for; });
+  std::erase_if(reported_, [&](const auto& entry) { return now - entry.second.at >= options_.remembered_for; });
+  std::size_t counted = last_alive_.empty() ? 0 : 1 + last_alive_.size();
+  for (const auto& [address, heard] : heard_) {
+    counted = std::max(counted, std::min(heard.counted, options_.max_members));
+  }
+  return counted;
 }
 
 }  // namespace pimentomoor
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -296,7 +296,7 @@
   may_have_run_ = true;
   if (outcome == ExchangeOutcome::kAnswered && IsPart(response)) {
     RecordRouteLatency(latency_, context_.loop.Now() - exchange.sent_at);
-    OnPartAnswered(index, exchange, response);
+    OnPartAnswered(index, response);
     return;
   }
   context_.metrics.Count("pimentomoor_run_part_failures_total", 1,
@@ -324,7 +324,7 @@
          ((response.status < 300 && !response.stamp.empty()) || (response.status >= 300 && response.status < 500));
 }
 
-void RequestRun::OnPartAnswered(std::size_t index, Exchange& /*exchange*/, ResponseMessage& response) {
+void RequestRun::OnPartAnswered(std::size_t index, ResponseMessage& response) {
   if (!gathers()) {
     RespondSingle(response);
     return;
--- a/src/libgateway/upstream_set.cpp
+++ b/src/libgateway/upstream_set.cpp
@@ -104,7 +104,7 @@
 }
 
 void UpstreamSet::SetDaemons(std::size_t counted, const std::string& self, std::vector<std::string> others) {
-  daemons_ = std::max<std::size_t>(counted, 1);
+  daemons_ = counted;
   if (others == others_ && self == self_) {
     return;
   }
@@ -158,12 +158,13 @@
 
 void UpstreamSet::Sweep() {
   const TimePoint now = context_.loop.Now();
-  for (const auto& [id, link] : std::map(by_id_)) {
+  // Requests that end here are sent elsewhere, which changes no entry.
+  for (const auto& [id, link] : by_id_) {
     if (link->busy()) {
       link->Sweep(now);
     }
   }
-  for (const auto& link : std::vector(leaving_)) {
+  for (const auto& link : leaving_) {
     link->Sweep(now);
   }
   std::erase_if(leaving_, [](const auto& link) { return !link->busy(); });
--- a/src/libplatform/config_lists.cpp
+++ b/src/libplatform/config_lists.cpp
@@ -138,7 +138,8 @@
 
 bool IsIpAddress(const std::string& text) {
   in_addr address{};
-  return inet_pton(AF_INET, text.c_str(), &address) == 1;
+  // inet_pton reads up to a NUL; what follows it would give one address two names.
+  return text.find('\0') == std::string::npos && inet_pton(AF_INET, text.c_str(), &address) == 1;
 }
 
 /// The IP address of "IP:port"; an empty view for other texts.
@@ -433,4 +434,20 @@
   return IsIpAddress(std::string(text.substr(0, colon)));
 }
 
+std::string ReadAddress(const YamlNode& node, std::string_view source, std::string_view path) {
+  std::string address = YamlText(node, source, path, kMaxNameBytes);
+  if (!IsSocketAddress(address)) {
+    throw ConfigError(source, node.line, path, QuoteForError(address) + " is not an IP number and a port");
+  }
+  return address;
+}
+
+std::string RequireAddress(YamlMapReader& reader, std::string_view key) {
+  std::string address = reader.RequireText(key, kMaxNameBytes);
+  if (!IsSocketAddress(address)) {
+    reader.Fail(reader.Require(key).line, key, QuoteForError(address) + " is not an IP number and a port");
+  }
+  return address;
+}
+
 }  // namespace pimentomoor
--- a/src/libplatform/config_lists_test.cpp
+++ b/src/libplatform/config_lists_test.cpp
@@ -139,6 +139,7 @@
                             "127.0.0.1:65536", "127.0.0.1:+80", "127.0.0.1: 80", "[::1]:80", "localhost:80", ":80"}) {
     CHECK_FALSE(IsSocketAddress(wrong));
   }
+  CHECK_FALSE(IsSocketAddress(std::string_view("127.0.0.1\0:80", 13)));
 }
 
 // Guards against messages that leave the operator searching for the wrong line.
--- a/src/libroute/shared_budget.cpp
+++ b/src/libroute/shared_budget.cpp
@@ -11,7 +11,7 @@
 
 RetryWindow::Slot& RetryWindow::SlotAt(TimePoint now, Duration window) {
   const std::int64_t index = IndexAt(now, window);
-  Slot& slot = slots_[static_cast<std::size_t>(index) % slots_.size()];
+  Slot& slot = slots_[PlaceOf(index)];
   if (slot.index != index) {
     slot = Slot{.index = index};
   }
@@ -21,13 +21,25 @@
 void RetryWindow::CountRequest(TimePoint now, Duration window) { ++SlotAt(now, window).requests; }
 void RetryWindow::CountExtra(TimePoint now, Duration window) { ++SlotAt(now, window).extras; }
 
-double RetryWindow::requests(TimePoint now, Duration window) const {
-  const std::int64_t oldest = IndexAt(now, window) - static_cast<std::int64_t>(kSlots);
-  double sum = 0;
-  for (const auto& slot : slots_) {
-    sum += slot.index > oldest ? slot.requests : 0;
+double RetryWindow::SteadyRequests(TimePoint now, Duration window) const {
+  // A span of a window's length contains this many whole slots, wherever it begins.
+  constexpr auto kWholeSlots = static_cast<std::int64_t>(kSlots) - 1;
+  const std::int64_t current = IndexAt(now, window);
+  const auto requests_at = [this](std::int64_t index) -> std::int64_t {
+    const Slot& slot = slots_[PlaceOf(index)];
+    return slot.index == index ? slot.requests : 0;
+  };
+  // Of the spans that end before the current slot, the last one first; each later one begins and ends a slot earlier.
+  std::int64_t sum = 0;
+  for (std::int64_t index = current - kWholeSlots; index < current; ++index) {
+    sum += requests_at(index);
   }
-  return sum;
+  std::int64_t fewest = sum;
+  for (std::int64_t end = current; end > current - static_cast<std::int64_t>(kSlots); --end) {
+    sum += requests_at(end - 1 - kWholeSlots) - requests_at(end - 1);
+    fewest = std::min(fewest, sum);
+  }
+  return static_cast<double>(fewest);
 }
 
 double RetryWindow::extras(TimePoint now, Duration window) const {
@@ -44,9 +56,8 @@
   // Daemons learn of each other within half a second; until then, each may add by a larger share.
   constexpr Duration kHeardWithin = std::chrono::milliseconds(500);
   const bool window_passed = now - started >= settings.window + kHeardWithin;
-  const double share =
-      window_passed ? settings.allowance / static_cast<double>(std::max<std::size_t>(daemons, 1)) : 0.0;
-  const double bound = settings.ratio * window.requests(now, settings.window) + share;
+  const double share = window_passed && daemons > 0 ? settings.allowance / static_cast<double>(daemons) : 0.0;
+  const double bound = settings.ratio * window.SteadyRequests(now, settings.window) + share;
   return bound * settings.safety - window.extras(now, settings.window);
 }
 
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -40,23 +40,11 @@
                   "), for which callers keep using a leaving daemon");
 }
 
-std::string RequireAddress(YamlMapReader& reader, std::string_view key) {
-  std::string address = reader.RequireText(key, kMaxNameBytes);
-  if (!IsSocketAddress(address)) {
-    reader.Fail(reader.Require(key).line, key, QuoteForError(address) + " is not an IP number and a port");
-  }
-  return address;
-}
-
 std::vector<std::string> ReadAddresses(YamlMapReader& reader, std::string_view source, std::string_view key,
                                        const std::vector<YamlNode>& items) {
   std::vector<std::string> addresses;
   for (const auto& item : items) {
-    std::string address = YamlText(item, source, reader.PathOf(key), kMaxNameBytes);
-    if (!IsSocketAddress(address)) {
-      reader.Fail(item.line, key, QuoteForError(address) + " is not an IP number and a port");
-    }
-    addresses.push_back(std::move(address));
+    addresses.push_back(ReadAddress(item, source, reader.PathOf(key)));
   }
   return addresses;
 }
