--- a/src/include/pimentomoor/shared_budget.h
+++ b/src/include/pimentomoor/shared_budget.h
@@ -15,7 +15,7 @@
   double allowance = 52;  // extra arrivals of all daemons together in a window, beyond the ratio
   Duration window = std::chrono::seconds(10);
   // Part of the bound that is used: an attempt that was sent late in one window can arrive in the next one.
-  double safety = 0.85;
+  double safety = 0.92;
 
   friend bool operator==(const RetryBudgetSettings&, const RetryBudgetSettings&) = default;
 };
