--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -108,7 +108,8 @@
   std::unique_ptr<CallerServer> directory_server_;
   std::unique_ptr<CallerServer> peer_server_;
   std::unique_ptr<GatewayPeers> peers_;
-  std::unique_ptr<KeptHttpClient> peer_client_;  // null while nothing is fetched from a peer
+  std::unique_ptr<KeptHttpClient> peer_client_;  // to the peer of the last fetch; null before the first one
+  bool fetching_ = false;                        // from a peer
   TimerId tick_timer_ = 0;
   TimerId stop_timer_ = 0;
   std::function<void()> stopped_;  // set exactly while stopping
--- a/src/include/pimentomoor/record_feed.h
+++ b/src/include/pimentomoor/record_feed.h
@@ -3,6 +3,8 @@
 // while neither answers.
 #pragma once
 
+#include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -29,12 +31,21 @@
   friend bool operator==(const RecordFeedOptions&, const RecordFeedOptions&) = default;
 };
 
+struct RemovedRecord {
+  std::string name;
+  std::uint64_t revision = 0;  // at which it was known to be gone
+
+  friend bool operator==(const RemovedRecord&, const RemovedRecord&) = default;
+};
+
 /// What one daemon knows of a kind beyond a revision that another one named.
 struct RecordDelta {
   std::uint64_t store_revision = 0;    // up to which the objects are complete
   std::uint64_t content_revision = 0;  // of the newest change
   std::vector<StoredRecord> changed;
-  std::vector<std::string> names;  // of all objects that exist
+  std::vector<std::string> names;  // of all objects that exist, unless `removed` tells what is gone
+  std::vector<RemovedRecord> removed;
+  bool lists_names = true;
 };
 
 class RecordFeed {
@@ -60,7 +71,11 @@
 
   /// Takes what a peer knows; ignored when this daemon knows as much.
   void Adopt(const RecordDelta& delta);
+  /// What changed after `after`, of which the asking daemon knows everything before. Names all objects when this
+  /// daemon no longer knows what was removed since.
   [[nodiscard]] RecordDelta MakeDelta(std::uint64_t after) const;
+  /// The revision that a daemon passes to another one's MakeDelta().
+  [[nodiscard]] std::uint64_t known_revision() const { return std::min(revision_, content_revision_); }
 
   /// A peer knows a change of `content_revision` that neither the running watch nor a peer has told: asks the store
   /// once more for it.
@@ -86,7 +101,8 @@
   void Watch();
   void OnEvents(const std::optional<ResponseMessage>& response);
   void Put(const StoredRecord& record);
-  void RemoveAllExcept(const std::vector<std::string>& names);
+  void RemoveAllExcept(const std::vector<std::string>& names, std::uint64_t revision);
+  void Remove(const std::string& name, std::uint64_t revision);
   void Retry();
   void Succeeded();
   void CallLater(Duration delay);
@@ -104,6 +120,8 @@
   std::uint64_t revision_ = 0;  // of the store, up to which records_ is complete; 0 before the first list
   std::uint64_t content_revision_ = 0;
   TimePoint changed_at_{};
+  std::deque<RemovedRecord> removed_;     // at most kMaxRemoved, complete after removed_since_
+  std::uint64_t removed_since_ = 0;       // 0 before the first list
   std::uint64_t rechecked_revision_ = 0;  // of a peer, for which the store was asked again
   std::vector<StoredRecord> listed_;      // pages of the running list
   std::uint64_t list_revision_ = 0;       // of its first page: the watch repeats what changed between the pages
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -340,6 +340,12 @@
   for (const auto& name : delta.names) {
     message.add_names(name);
   }
+  for (const auto& gone : delta.removed) {
+    auto* copy = message.add_removed();
+    copy->set_name(gone.name);
+    copy->set_revision(gone.revision);
+  }
+  message.set_lists_names(delta.lists_names);
   exchange.Respond({.status = feed.loaded() ? 200 : 503, .body = message.SerializeAsString()});
 }
 
@@ -411,14 +417,17 @@
 }
 
 void Gateway::FetchFromPeer(const std::string& address, RecordFeed& feed) {
-  if (peer_client_ != nullptr) {
+  if (fetching_) {
     return;  // one fetch at a time; the next tick starts another
   }
-  peer_client_ = std::make_unique<KeptHttpClient>(loop_, codec_.field_names(), address);
+  fetching_ = true;
+  if (peer_client_ == nullptr || peer_client_->address() != address) {
+    peer_client_ = std::make_unique<KeptHttpClient>(loop_, codec_.field_names(), address);
+  }
   const std::string target =
-      RecordsPath(feed.kind()) + "?after=" + std::to_string(feed.loaded() ? feed.content_revision() : 0);
+      RecordsPath(feed.kind()) + "?after=" + std::to_string(feed.loaded() ? feed.known_revision() : 0);
   peer_client_->Get(target, kRelayTimeout, [this, &feed](const std::optional<ResponseMessage>& response) {
-    peer_client_.reset();
+    fetching_ = false;
     proto::GatewayRecords message;
     if (!response || response->status != 200 || !message.ParseFromString(response->body)) {
       metrics_.Count("pimentomoor_gateway_fetch_failures_total");
@@ -430,6 +439,10 @@
       delta.changed.push_back({.name = record.name(), .revision = record.revision(), .payload = record.payload()});
     }
     delta.names.assign(message.names().begin(), message.names().end());
+    for (const auto& gone : message.removed()) {
+      delta.removed.push_back({.name = gone.name(), .revision = gone.revision()});
+    }
+    delta.lists_names = message.lists_names();
     feed.Adopt(delta);
   });
 }
--- a/src/libgateway/record_feed.cpp
+++ b/src/libgateway/record_feed.cpp
@@ -8,6 +8,13 @@
 
 namespace pimentomoor {
 
+namespace {
+
+// Several minutes of removals; daemons that ask for older ones get the names of all objects.
+constexpr std::size_t kMaxRemoved = 1'024;
+
+}  // namespace
+
 RecordFeed::RecordFeed(EventLoop& loop, Metrics& metrics, const PlatformCodec& codec, RecordKind kind,
                        std::string address, Handlers handlers, RecordFeedOptions options)
     : loop_(loop),
@@ -91,7 +98,7 @@
     Put(record);
   }
   listed_.clear();
-  RemoveAllExcept(names);
+  RemoveAllExcept(names, revision_);
   handlers_.on_batch();
   Succeeded();
 }
@@ -106,7 +113,23 @@
   }
 }
 
-void RecordFeed::RemoveAllExcept(const std::vector<std::string>& names) {
+void RecordFeed::Remove(const std::string& name, std::uint64_t revision) {
+  records_.erase(name);
+  // Others learn of a removal as of any change: by a newer content revision.
+  content_revision_ = std::max(content_revision_, revision);
+  removed_.push_back({.name = name, .revision = revision});
+  if (removed_.size() > kMaxRemoved) {
+    removed_since_ = std::max(removed_since_, removed_.front().revision);
+    removed_.pop_front();
+  }
+  changed_at_ = loop_.Now();
+  handlers_.on_delete(name);
+}
+
+void RecordFeed::RemoveAllExcept(const std::vector<std::string>& names, std::uint64_t revision) {
+  if (removed_since_ == 0) {
+    removed_since_ = std::max<std::uint64_t>(revision, 1);  // the first list
+  }
   const std::set<std::string> kept(names.begin(), names.end());
   std::vector<std::string> gone;
   for (const auto& [name, record] : records_) {
@@ -115,9 +138,7 @@
     }
   }
   for (const auto& name : gone) {
-    records_.erase(name);
-    changed_at_ = loop_.Now();
-    handlers_.on_delete(name);
+    Remove(name, revision);
   }
 }
 
@@ -147,10 +168,7 @@
     const RecordEvents answer = codec_.ParseEvents(response->body);
     for (const auto& event : answer.events) {
       if (event.deleted) {
-        content_revision_ = std::max(content_revision_, event.record.revision);
-        records_.erase(event.record.name);
-        changed_at_ = loop_.Now();
-        handlers_.on_delete(event.record.name);
+        Remove(event.record.name, event.record.revision);
       } else {
         Put(event.record);
       }
@@ -212,14 +230,20 @@
       Put(record);
     }
   }
-  if (!older) {
+  for (const auto& gone : delta.removed) {
+    const auto held = records_.find(gone.name);
+    if (held != records_.end() && gone.revision > std::max(older ? revision_ : 0, held->second.revision)) {
+      Remove(gone.name, gone.revision);
+    }
+  }
+  if (!older && delta.lists_names) {
     std::vector<std::string> names = delta.names;
     for (const auto& [name, record] : records_) {
       if (record.revision > delta.store_revision) {
         names.push_back(name);  // newer than what the peer tells
       }
     }
-    RemoveAllExcept(names);
+    RemoveAllExcept(names, delta.store_revision);
   }
   revision_ = std::max(revision_, delta.store_revision);
   content_revision_ = std::max(content_revision_, delta.content_revision);
@@ -229,12 +253,19 @@
 
 RecordDelta RecordFeed::MakeDelta(std::uint64_t after) const {
   RecordDelta delta{.store_revision = revision_, .content_revision = content_revision_};
+  delta.lists_names = removed_since_ == 0 || after < removed_since_;
   for (const auto& [name, record] : records_) {
-    delta.names.push_back(name);
+    if (delta.lists_names) {
+      delta.names.push_back(name);
+    }
     if (record.revision > after) {
       delta.changed.push_back(record);
     }
   }
+  if (!delta.lists_names) {
+    std::copy_if(removed_.begin(), removed_.end(), std::back_inserter(delta.removed),
+                 [after](const RemovedRecord& gone) { return gone.revision > after; });
+  }
   return delta;
 }
 
--- a/src/libgateway/record_feed_test.cpp
+++ b/src/libgateway/record_feed_test.cpp
@@ -169,6 +169,42 @@
   CHECK((adopt(13, 13, {}, {"b"}) == "b12 "));
 }
 
+// Guards against peers that keep a deleted searcher because the removal has no newer revision than what they know:
+// one that a list found after the store had dropped its history, and one that was told without the names of all
+// objects.
+TEST(RecordFeed, RemovalsReachPeersAsChanges) {
+  Load();
+  feed.Adopt({.store_revision = 10, .content_revision = 4, .names = {"a", "b"}});
+  const auto relay = [this](RecordFeed& peer) {
+    CHECK(feed.content_revision() > peer.content_revision());
+    const RecordDelta delta = feed.MakeDelta(peer.known_revision());
+    peer.Adopt(delta);
+    CHECK(peer.content_revision() == feed.content_revision());
+    CHECK(peer.records() == feed.records());
+    return delta.lists_names;
+  };
+  const RecordFeed::Handlers ignore = {
+      .on_put = [](const auto&) {}, .on_delete = [](const auto&) {}, .on_batch = [] {}, .on_health = [] {}};
+  RecordFeed peer(loop, metrics, *codec, RecordKind::kUpstreams, store.listener.address(), ignore);
+  CHECK(relay(peer));  // the first time, all names
+  store.respond = [](const std::string& target) {
+    return target.find('?') == target.npos ? Page(Object("b", 4), 20) : "HTTP/1.1 410 Gone\r\n" + kEmpty;
+  };
+  CHECK(Wait([this] { return feed.revision() == 20; }));
+  relay(peer);
+  store.respond = [](const std::string& target) {
+    return target.find("watch=20&") != target.npos
+               ? Events(R"({"object":)" + Object("c", 21) + R"(,"deleted":true},{"object":)" + Object("d", 22) + "}",
+                        22)
+               : "";
+  };
+  CHECK(Wait([this] { return feed.revision() == 22; }));
+  CHECK_FALSE(relay(peer));
+  STRCMP_EQUAL("d22 ", Names().c_str());
+  RecordFeed late(loop, metrics, *codec, RecordKind::kUpstreams, store.listener.address(), ignore);
+  CHECK(relay(late));
+}
+
 // Guards against a kept connection that the server has closed and that fails the next call, against an endless
 // repetition, and against extra bytes that are taken for the next answer or a call that never ends.
 TEST(RecordFeed, ClientReplacesAClosedConnection) {
