--- a/src/include/pimentomoor/crash_reports.h
+++ b/src/include/pimentomoor/crash_reports.h
@@ -23,8 +23,10 @@
 };
 
 struct CrashReportSettings {
-  std::uint32_t refused_after = 3;    // crashes seen by all daemons together
-  std::uint32_t max_per_attempt = 2;  // a query of many shards can lose many searchers to another request's crash
+  std::uint32_t refused_after = 3;  // crashes seen by all daemons together
+  // Crashes within this time count as one: searchers that are killed together, or one that several attempts of the
+  // same query were running on, say little about the query.
+  Duration spacing = std::chrono::milliseconds(500);
   Duration kept_for = std::chrono::seconds(60);
   std::size_t max_entries = 64;
 
@@ -36,8 +38,8 @@
   explicit CrashReports(std::uint64_t reporter, CrashReportSettings settings = {})
       : reporter_(reporter), settings_(settings) {}
 
-  /// A searcher crashed while the request was running there. `attempt` identifies one attempt of the caller.
-  void Add(std::uint64_t fingerprint, std::string_view attempt, TimePoint now);
+  /// A searcher crashed while the request was running there.
+  void Add(std::uint64_t fingerprint, TimePoint now);
   /// Takes another daemon's report; also one that was passed on.
   void Merge(const CrashReportEntry& entry, TimePoint now);
 
@@ -48,15 +50,18 @@
  private:
   struct Seen {
     std::uint32_t crashes = 0;
-    TimePoint at;
-    std::uint64_t last_attempt = 0;  // hash of it, and the crashes counted for it
-    std::uint32_t of_last_attempt = 0;
+    TimePoint at;  // of the last one
   };
   using Key = std::pair<std::uint64_t, std::uint64_t>;  // fingerprint, reporter
 
+  [[nodiscard]] bool IsRecent(std::uint64_t fingerprint, TimePoint now) const;
+  void Count(std::uint64_t fingerprint, std::uint32_t crashes, TimePoint now);
+  void Expire(TimePoint now);
+
   std::uint64_t reporter_;
   CrashReportSettings settings_;
-  std::map<Key, Seen> seen_;  // at most max_entries
+  std::map<Key, Seen> seen_;               // as each daemon counts; at most max_entries
+  std::map<std::uint64_t, Seen> counted_;  // by fingerprint, over all daemons; none without an entry of seen_
 };
 
 /// Identifies a request that is sent again: the same method, host, target and body.
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -158,7 +158,10 @@
   void Drop(UpstreamConnection* connection);
   /// A request was lost without a byte of an answer: connects at once, because a refused connection tells a crash.
   void SuspectCrash(const ExchangePtr& exchange);
-  void OnConnectFailed(UpstreamConnection* connection);
+  /// `refused` by the host, rather than overdue: also a daemon that had no processor time finds connections overdue.
+  void OnConnectFailed(UpstreamConnection* connection, bool refused);
+  /// Reports the requests that were lost just before a connection was refused.
+  void ReportCrash();
 
   LinkContext& context_;
   UpstreamEntry entry_;
--- a/src/libgateway/upstream_connection.cpp
+++ b/src/libgateway/upstream_connection.cpp
@@ -100,7 +100,7 @@
 
 void UpstreamConnection::OnEnd(StreamEnd end) {
   if (end == StreamEnd::kConnectFailed) {
-    link_.OnConnectFailed(this);
+    link_.OnConnectFailed(this, true);
     return;
   }
   if (running_ == nullptr) {
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -101,26 +101,32 @@
   context_.metrics.Count("pimentomoor_upstream_connections_opened_total");
   if (!opened->Open()) {
     // Reported in a later turn, so that Send() never calls its caller back.
-    context_.loop.Post([self = shared_from_this(), opened] { self->OnConnectFailed(opened); });
+    context_.loop.Post([self = shared_from_this(), opened] { self->OnConnectFailed(opened, false); });
   }
 }
 
-void UpstreamLink::OnConnectFailed(UpstreamConnection* connection) {
+void UpstreamLink::OnConnectFailed(UpstreamConnection* connection, bool refused) {
   Drop(connection);
   context_.metrics.Count("pimentomoor_upstream_connect_failures_total");
+  RecordConnectFailure(signals, context_.loop.Now());
+  if (refused) {
+    ReportCrash();
+  }
+  const bool other =
+      std::any_of(connections_.begin(), connections_.end(), [](const auto& left) { return left->connected(); });
+  if (!other) {
+    FailWaiting();
+  }
+}
+
+void UpstreamLink::ReportCrash() {
   const TimePoint now = context_.loop.Now();
-  RecordConnectFailure(signals, now);
   for (const auto& [lost_at, request] : std::exchange(suspects_, {})) {
     if (now - lost_at < kCrashWindow) {
       context_.metrics.Count("pimentomoor_upstream_crashes_total");
       context_.on_crash(*request);
     }
   }
-  const bool other =
-      std::any_of(connections_.begin(), connections_.end(), [](const auto& left) { return left->connected(); });
-  if (!other) {
-    FailWaiting();
-  }
 }
 
 void UpstreamLink::SuspectCrash(const ExchangePtr& exchange) {
@@ -198,7 +204,7 @@
     }
   }
   for (auto* connection : failed) {
-    OnConnectFailed(connection);
+    OnConnectFailed(connection, false);
   }
   for (const auto& exchange : overdue) {
     const auto found = std::find_if(connections_.begin(), connections_.end(),
--- a/src/libroute/crash_reports.cpp
+++ b/src/libroute/crash_reports.cpp
@@ -2,47 +2,61 @@
 #include "pimentomoor/crash_reports.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace pimentomoor {
 
-void CrashReports::Add(std::uint64_t fingerprint, std::string_view attempt, TimePoint now) {
-  std::erase_if(seen_, [&](const auto& entry) { return now - entry.second.at >= settings_.kept_for; });
-  if (seen_.size() >= settings_.max_entries && !seen_.contains({fingerprint, reporter_})) {
+void CrashReports::Expire(TimePoint now) {
+  const auto expired = [&](const auto& entry) { return now - entry.second.at >= settings_.kept_for; };
+  std::erase_if(seen_, expired);
+  std::erase_if(counted_, expired);
+}
+
+bool CrashReports::IsRecent(std::uint64_t fingerprint, TimePoint now) const {
+  const auto found = counted_.find(fingerprint);
+  return found != counted_.end() && now - found->second.at < settings_.spacing;
+}
+
+void CrashReports::Count(std::uint64_t fingerprint, std::uint32_t crashes, TimePoint now) {
+  const bool recent = IsRecent(fingerprint, now);
+  Seen& counted = counted_[fingerprint];
+  if (recent) {
+    counted.crashes = std::max(counted.crashes, crashes);
+  } else {
+    counted.crashes += crashes;
+    counted.at = now;
+  }
+}
+
+void CrashReports::Add(std::uint64_t fingerprint, TimePoint now) {
+  Expire(now);
+  if (IsRecent(fingerprint, now) ||
+      (seen_.size() >= settings_.max_entries && !seen_.contains({fingerprint, reporter_}))) {
     return;
   }
   Seen& seen = seen_[{fingerprint, reporter_}];
-  const std::uint64_t attempt_hash = std::hash<std::string_view>()(attempt);
-  if (seen.last_attempt != attempt_hash) {
-    seen.last_attempt = attempt_hash;
-    seen.of_last_attempt = 0;
-  }
-  if (seen.of_last_attempt < settings_.max_per_attempt) {
-    ++seen.of_last_attempt;
-    ++seen.crashes;
-    seen.at = now;
-  }
+  ++seen.crashes;
+  seen.at = now;
+  Count(fingerprint, 1, now);
 }
 
 void CrashReports::Merge(const CrashReportEntry& entry, TimePoint now) {
+  Expire(now);
   if (entry.reporter == reporter_ || entry.crashes == 0 ||
       (seen_.size() >= settings_.max_entries && !seen_.contains({entry.fingerprint, entry.reporter}))) {
     return;
   }
   Seen& seen = seen_[{entry.fingerprint, entry.reporter}];
   if (entry.crashes > seen.crashes) {
+    Count(entry.fingerprint, entry.crashes - seen.crashes, now);
     seen.crashes = entry.crashes;
     seen.at = now;
   }
 }
 
 bool CrashReports::IsRefused(std::uint64_t fingerprint, TimePoint now) const {
-  std::uint32_t crashes = 0;
-  for (auto entry = seen_.lower_bound({fingerprint, 0}); entry != seen_.end() && entry->first.first == fingerprint;
-       ++entry) {
-    crashes += now - entry->second.at < settings_.kept_for ? entry->second.crashes : 0;
-  }
-  return crashes >= settings_.refused_after;
+  const auto found = counted_.find(fingerprint);
+  return found != counted_.end() && now - found->second.at < settings_.kept_for &&
+         found->second.crashes >= settings_.refused_after;
 }
 
 std::vector<CrashReportEntry> CrashReports::Entries(TimePoint now) const {
