Bound extra arrivals in every window that a daemon spends in

Cause: the fewest requests of the window before left a growing load without retries for two windows.

Change: each window of extras takes half of the ratio from its own requests and half from the window before.

--- a/src/include/pimentomoor/shared_budget.h
+++ b/src/include/pimentomoor/shared_budget.h
@@ -16,6 +16,9 @@
   Duration window = std::chrono::seconds(10);
   // Part of the bound that is used: an attempt that was sent late in one window can arrive in the next one.
   double safety = 0.92;
+  // Part of the ratio that comes from requests of the same window: without it a growing load has no retries for a
+  // window; with nothing else, retries can't come in bursts.
+  double present_share = 0.5;
 
   friend bool operator==(const RetryBudgetSettings&, const RetryBudgetSettings&) = default;
 };
@@ -26,11 +29,12 @@
   void CountRequest(TimePoint now, Duration window);
   void CountExtra(TimePoint now, Duration window);
 
-  /// The fewest requests in any span of almost a window that ended within the last window. Windows of extra arrivals
-  /// slide, and daemons spend at different times; the window before any of theirs holds at least the sum of these.
-  [[nodiscard]] double SteadyRequests(TimePoint now, Duration window) const;
-  /// Extra arrivals over the last window and the current, unfinished slot.
-  [[nodiscard]] double extras(TimePoint now, Duration window) const;
+  /// Extra arrivals that the ratio alone leaves, negative when they come from the allowance: the least over all
+  /// windows that hold `now`, also those that end later and to which no further request may come. Each window of
+  /// extras may take present_share of the ratio from its own requests and the rest from the window before it; both
+  /// are sums over daemons for the same window, so the daemons' parts add up to the bound whenever each of them
+  /// spends.
+  [[nodiscard]] double ExtrasLeft(TimePoint now, const RetryBudgetSettings& settings) const;
 
  private:
   static constexpr std::size_t kSlots = 20;              // of a window
--- a/src/libroute/shared_budget.cpp
+++ b/src/libroute/shared_budget.cpp
@@ -2,6 +2,7 @@
 #include "pimentomoor/shared_budget.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace pimentomoor {
 
@@ -21,34 +22,29 @@
 void RetryWindow::CountRequest(TimePoint now, Duration window) { ++SlotAt(now, window).requests; }
 void RetryWindow::CountExtra(TimePoint now, Duration window) { ++SlotAt(now, window).extras; }
 
-double RetryWindow::SteadyRequests(TimePoint now, Duration window) const {
-  // A span of a window's length contains this many whole slots, wherever it begins.
-  constexpr auto kWholeSlots = static_cast<std::int64_t>(kSlots) - 1;
-  const std::int64_t current = IndexAt(now, window);
-  const auto requests_at = [this](std::int64_t index) -> std::int64_t {
+double RetryWindow::ExtrasLeft(TimePoint now, const RetryBudgetSettings& settings) const {
+  constexpr auto kWindow = static_cast<std::int64_t>(kSlots);
+  const std::int64_t current = IndexAt(now, settings.window);
+  const auto at = [this](std::int64_t index) {
     const Slot& slot = slots_[PlaceOf(index)];
-    return slot.index == index ? slot.requests : 0;
+    return slot.index == index ? slot : Slot{};
   };
-  // Of the spans that end before the current slot, the last one first; each later one begins and ends a slot earlier.
-  std::int64_t sum = 0;
-  for (std::int64_t index = current - kWholeSlots; index < current; ++index) {
-    sum += requests_at(index);
+  // Sums for windows that begin in slot `first`: of whole slots before it, of slots after it, and of extras.
+  double before = 0;
+  double inside = 0;
+  double extras = 0;
+  for (std::int64_t index = current - kWindow + 1; index < current; ++index) {
+    before += at(index).requests;
   }
-  std::int64_t fewest = sum;
-  for (std::int64_t end = current; end > current - static_cast<std::int64_t>(kSlots); --end) {
-    sum += requests_at(end - 1 - kWholeSlots) - requests_at(end - 1);
-    fewest = std::min(fewest, sum);
+  double left = std::numeric_limits<double>::max();
+  for (std::int64_t first = current; first >= current - kWindow; --first) {
+    extras += at(first).extras;
+    const double requests = settings.present_share * inside + (1 - settings.present_share) * before;
+    left = std::min(left, settings.safety * settings.ratio * requests - extras);
+    inside += at(first).requests;
+    before += static_cast<double>(at(first - kWindow).requests) - at(first - 1).requests;
   }
-  return static_cast<double>(fewest);
-}
-
-double RetryWindow::extras(TimePoint now, Duration window) const {
-  const std::int64_t oldest = IndexAt(now, window) - static_cast<std::int64_t>(kSlots);
-  double sum = 0;
-  for (const auto& slot : slots_) {
-    sum += slot.index >= oldest ? slot.extras : 0;
-  }
-  return sum;
+  return left;
 }
 
 double ExtrasLeft(const RetryWindow& window, const RetryBudgetSettings& settings, std::size_t daemons,
@@ -57,8 +53,7 @@
   constexpr Duration kHeardWithin = std::chrono::milliseconds(500);
   const bool window_passed = now - started >= settings.window + kHeardWithin;
   const double share = window_passed && daemons > 0 ? settings.allowance / static_cast<double>(daemons) : 0.0;
-  const double bound = settings.ratio * window.SteadyRequests(now, settings.window) + share;
-  return bound * settings.safety - window.extras(now, settings.window);
+  return window.ExtrasLeft(now, settings) + settings.safety * share;
 }
 
 bool MayAddExtra(const RetryWindow& window, const RetryBudgetSettings& settings, std::size_t daemons,
