--- a/src/include/pimentomoor/log.h
+++ b/src/include/pimentomoor/log.h
@@ -19,6 +19,9 @@
 /// std::invalid_argument.
 void InitLogging(std::string_view level);
 
+/// Changes the level; see InitLogging().
+void SetLogLevel(std::string_view level);
+
 void LogInfo(std::string_view event, std::initializer_list<LogField> fields = {});
 void LogWarn(std::string_view event, std::initializer_list<LogField> fields = {});
 void LogError(std::string_view event, std::initializer_list<LogField> fields = {});
--- a/src/include/pimentomoor/record_feed.h
+++ b/src/include/pimentomoor/record_feed.h
@@ -25,6 +25,12 @@
   Duration min_watch_interval = std::chrono::milliseconds(100);  // joins changes in quick succession into one call
   Duration min_backoff = std::chrono::milliseconds(100);
   Duration max_backoff = std::chrono::milliseconds(1'500);
+  // Before the first list nothing is served, so that the return of the store has to be noticed within a second.
+  Duration max_first_backoff = std::chrono::milliseconds(700);
+  // A list beyond these is given up, because a store that always names one more page would fill the memory. The
+  // target of 75,000 searchers takes 1,500 pages of 50 and about 15 MB.
+  std::size_t max_list_pages = 4'000;
+  std::size_t max_list_bytes = std::size_t{32} << 20U;  // names and payloads
 
   friend bool operator==(const RecordFeedOptions&, const RecordFeedOptions&) = default;
 };
@@ -83,6 +89,7 @@
   void Call();
   void List();
   void OnPage(const std::optional<ResponseMessage>& response);
+  [[nodiscard]] bool IsListTooLong() const;
   void Watch();
   void OnEvents(const std::optional<ResponseMessage>& response);
   void Put(const StoredRecord& record);
@@ -106,9 +113,11 @@
   TimePoint changed_at_{};
   std::uint64_t rechecked_revision_ = 0;  // of a peer, for which the store was asked again
   std::vector<StoredRecord> listed_;      // pages of the running list
-  std::uint64_t list_revision_ = 0;       // of its first page: the watch repeats what changed between the pages
-  bool listing_ = false;                  // the next call lists; a list that failed starts over
-  bool calling_ = false;                  // a call is running or due
+  std::size_t listed_pages_ = 0;
+  std::size_t listed_bytes_ = 0;
+  std::uint64_t list_revision_ = 0;  // of its first page: the watch repeats what changed between the pages
+  bool listing_ = false;             // the next call lists; a list that failed starts over
+  bool calling_ = false;             // a call is running or due
   TimePoint last_watch_{};
   TimePoint failing_since_ = TimePoint::max();
   unsigned failures_ = 0;  // in a row
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -450,7 +450,8 @@
   runs_.settings = settings_.run;
   peers_->SetSeeds(settings_.seed_peers);
   upstreams_.SetBudgets(settings_.retry, settings_.cold);
-  LogInfo("settings applied", {{"host", settings_.host}});
+  LogInfo("settings applied", {{"host", settings_.host}, {"log_level", settings_.log_level}});
+  SetLogLevel(settings_.log_level);
 }
 
 }  // namespace pimentomoor
--- a/src/libgateway/gateway_inspection_test.cpp
+++ b/src/libgateway/gateway_inspection_test.cpp
@@ -1,4 +1,5 @@
 // Tests of what operators see of a gateway: traces, /status, the subcommands over them, and checked settings.
+#include <log4cxx/logger.h>
 #include <unistd.h>
 
 #include "command_runner.h"
@@ -130,6 +131,34 @@
   LONGS_EQUAL(2, Run({"gateway-status", "--daemon", "nowhere"}).code);
 }
 
+// Guards against one object whose name is no valid UTF-8 and that stops the relay of all objects between daemons.
+TEST(GatewayInspection, RelayPassesNamesThatAreNoText) {
+  Serve("servers", Searcher("bad\xff", "good", good.address()));
+  gateway.reset();
+  gateway = std::make_unique<Gateway>(loop, settings, *codec);
+  gateway->Start();
+  settings.host = "gateway-2";
+  settings.seed_peers = {settings.peer_address};
+  for (std::string* address : {&settings.caller_address, &settings.ready_address, &settings.directory_address,
+                               &settings.peer_address, &settings.store_address}) {
+    *address = FreeAddress(loop);
+  }
+  Gateway follower(loop, settings, *codec);  // no store listens at its address, so it has the objects from the seed
+  follower.Start();
+  CHECK(loop.RunUntil([&follower] { return follower.ready(); }, std::chrono::seconds(10)));
+}
+
+// Guards against a changed log level that is accepted and has no effect.
+TEST(GatewayInspection, ChangedLogLevelTakesEffect) {
+  const log4cxx::LoggerPtr logger = log4cxx::Logger::getRootLogger();
+  const log4cxx::LevelPtr before = logger->getLevel();
+  settings.log_level = "error";
+  gateway->ApplySettings(settings);
+  const bool applied = logger->getLevel()->equals(log4cxx::Level::getError());
+  logger->setLevel(before);
+  CHECK(applied);
+}
+
 // Guards against recording that a storm of refusals turns into load, and against a sample that never comes.
 TEST_GROUP(RunTracer){};
 TEST(RunTracer, RecordsASampleAndWithinItsRate) {
--- a/src/libgateway/platform_codec_test.cpp
+++ b/src/libgateway/platform_codec_test.cpp
@@ -30,6 +30,14 @@
   CHECK_EQUAL(1U, MakePlatformCodec()->ParsePage(body).records.size());
 }
 
+// Guards against a list that goes on after another object than the last one, or a request that can't be parsed: a
+// name may hold characters that end a parameter, the query or the request line.
+TEST(PlatformCodec, LastNameOfAPageIsEncoded) {
+  const auto codec = MakePlatformCodec();
+  STRCMP_EQUAL("/api/objects/servers?after=a%20b%26c%3D%25%2B%23%0D%0A%C3%A9-1.2",
+               codec->ListTarget(RecordKind::kUpstreams, "a b&c=%+#\r\n\xc3\xa9-1.2").c_str());
+}
+
 // Guards against a limit of 0 bytes: 2^32 was cut to 32 bits.
 TEST(PlatformCodec, HeadLimitBeyond32BitsIsMalformed) {
   const std::string payload = R"({"version":1,"routes":[],"services":[],"limits":{"max-header-bytes":4294967296,)"
--- a/src/libgateway/record_feed.cpp
+++ b/src/libgateway/record_feed.cpp
@@ -55,6 +55,10 @@
 
 void RecordFeed::List() {
   listing_ = true;
+  if (listed_.empty()) {
+    listed_pages_ = 0;
+    listed_bytes_ = 0;
+  }
   const std::string after = listed_.empty() ? "" : listed_.back().name;
   metrics_.Count("pimentomoor_store_calls_total", 1, "call=\"list\"");
   client_.Get(codec_.ListTarget(kind_, after), options_.list_timeout,
@@ -72,7 +76,19 @@
       list_revision_ = page.store_revision;
     }
     const bool more = page.more && !page.records.empty();
+    ++listed_pages_;
+    for (const auto& record : page.records) {
+      listed_bytes_ += record.name.size() + record.payload.size();
+    }
     std::move(page.records.begin(), page.records.end(), std::back_inserter(listed_));
+    if (more && IsListTooLong()) {
+      metrics_.Count("pimentomoor_store_list_too_long_total");
+      LogWarn("store list too long", {{"kind", std::string(ToString(kind_))},
+                                      {"pages", std::to_string(listed_pages_)},
+                                      {"bytes", std::to_string(listed_bytes_)}});
+      Retry();
+      return;
+    }
     if (more) {
       List();
       return;
@@ -96,6 +112,10 @@
   Succeeded();
 }
 
+bool RecordFeed::IsListTooLong() const {
+  return listed_pages_ >= options_.max_list_pages || listed_bytes_ >= options_.max_list_bytes;
+}
+
 void RecordFeed::Put(const StoredRecord& record) {
   content_revision_ = std::max(content_revision_, record.revision);
   auto& held = records_[record.name];
@@ -176,7 +196,8 @@
     LogWarn("store unavailable", {{"kind", std::string(ToString(kind_))}});
   }
   listed_.clear();
-  CallLater(BackoffDelay(failures_++, options_.min_backoff, options_.max_backoff, jitter_()));
+  const Duration max_backoff = loaded() ? options_.max_backoff : options_.max_first_backoff;
+  CallLater(BackoffDelay(failures_++, options_.min_backoff, max_backoff, jitter_()));
   if (began) {
     handlers_.on_health();
   }
--- a/src/libgateway/record_feed_test.cpp
+++ b/src/libgateway/record_feed_test.cpp
@@ -80,7 +80,10 @@
                    .on_delete = [this](const std::string& name) { changes.push_back("-" + name); },
                    .on_batch = [] {},
                    .on_health = [] {}},
-                  {.watch_wait = milliseconds(500), .watch_grace = milliseconds(200)}};
+                  {.watch_wait = milliseconds(500),
+                   .watch_grace = milliseconds(200),
+                   .max_list_pages = 100,
+                   .max_list_bytes = 4'000'000}};
 
   bool Wait(const std::function<bool()>& done) { return RunTurns(loop, clock, done, seconds(10)); }
   std::string Names() const {
@@ -153,6 +156,44 @@
   LONGS_EQUAL(2, feed.records().size());
 }
 
+// Guards against a list without end (the store names more pages forever, or repeats one), which would take memory
+// without bound, and against known objects that are dropped in favour of such a list.
+TEST(RecordFeed, ListWithoutEndIsGivenUpAndKeepsObjects) {
+  Load();
+  for (const std::size_t object_bytes : {std::size_t{1}, std::size_t{1} << 20U}) {
+    int page = 0;
+    const std::string spec = R"("},"spec":")" + std::string(object_bytes, 'x') + "\"}";
+    store.respond = [&](const std::string& target) {
+      return target.find("watch=") != target.npos
+                 ? "HTTP/1.1 410 Gone\r\n" + kEmpty
+                 : Page(R"({"meta":{"rev":20,"name":"c)" + std::to_string(++page) + spec, 20, true);
+    };
+    const auto given_up = [&] { return metrics.counter("pimentomoor_store_list_too_long_total"); };
+    const std::uint64_t before = given_up();
+    CHECK(RunTurns(
+        loop, clock, [&] { return given_up() > before; }, seconds(60)));
+    CHECK(feed.failing());
+    STRCMP_EQUAL("a3 b4 ", Names().c_str());
+  }
+}
+
+// Guards against a daemon that starts while the store is away and asks it so rarely that its return is noticed late:
+// nothing is served until then (inc-6cc8).
+TEST(RecordFeed, FirstListFollowsTheStoresReturnWithinASecond) {
+  store.respond = [](const std::string&) { return "HTTP/1.1 503 Busy\r\n" + kEmpty; };
+  feed.SetSource(RecordFeed::Source::kWatch);
+  Duration longest{};
+  for (std::size_t calls = 0; calls < 8; ++calls) {
+    const TimePoint before = clock.Now();
+    CHECK(Wait([&] { return store.targets.size() > calls; }));
+    longest = std::max(longest, clock.Now() - before);
+  }
+  CHECK_TEXT(longest < milliseconds(750), std::to_string(longest / milliseconds(1)).c_str());
+  store.respond = [](const std::string&) { return Page(Object("a", 3), 10); };
+  CHECK(RunTurns(
+      loop, clock, [this] { return feed.loaded(); }, seconds(1)));
+}
+
 // Guards against a table or a state of a searcher that reverts, and a deleted searcher that returns, because a peer
 // answers late or has listed the store while it changed.
 TEST(RecordFeed, OlderCopiesOfAPeerAreIgnored) {
--- a/src/libkernel/log.cpp
+++ b/src/libkernel/log.cpp
@@ -74,6 +74,8 @@
   initialized = true;
 }
 
+void SetLogLevel(std::string_view level) { RootLogger()->setLevel(ParseLevel(level)); }
+
 // Programs that never call InitLogging(), such as the tests, log nothing.
 void LogInfo(std::string_view event, std::initializer_list<LogField> fields) {
   if (initialized) {
