Give the inspection test a short retry window instead of a large ratio

Cause: GatewayInspection.ExplainShowsTheHopsOfAPartialAnswer needs a retry in a new process and got it by a ratio of 10. Since the bound holds in every window, a retry right after the first request of a process is not allowed by any ratio: a window that begins between the two holds the extra only.

Ruled out: counting the request in the window of its own extra (the bound is then exceeded by windows that begin between them).

Change: the test's window is 1 s and its setup waits until the allowance of a new process is due. Its expectations are the same.

--- a/src/libgateway/gateway_inspection_test.cpp
+++ b/src/libgateway/gateway_inspection_test.cpp
@@ -74,10 +74,12 @@
                 .directory_address = FreeAddress(loop),
                 .peer_address = FreeAddress(loop),
                 .store_address = store.address(),
-                .retry = {.ratio = 10}};  // the allowance of a new process is 0
+                .retry = {.window = std::chrono::seconds(1)}};
     gateway = std::make_unique<Gateway>(loop, settings, *codec);
     gateway->Start();
-    CHECK(loop.RunUntil([this] { return gateway->ready(); }, std::chrono::seconds(10)));
+    // A new process has no allowance of retries for a window.
+    const TimePoint allowed_at = loop.Now() + settings.retry.window + std::chrono::milliseconds(600);
+    CHECK(loop.RunUntil([&] { return gateway->ready() && loop.Now() >= allowed_at; }, std::chrono::seconds(10)));
   }
 
   int Send(const std::string& path, const std::string& request_id) {
