--- a/src/include/pimentomoor/caller_server.h
+++ b/src/include/pimentomoor/caller_server.h
@@ -74,6 +74,7 @@
   /// Closes the listener and the idle connections; running requests go on.
   void StopAccepting();
 
+  [[nodiscard]] std::size_t open_connections() const { return connections_.size(); }
   [[nodiscard]] std::size_t running_requests() const { return running_; }
   [[nodiscard]] std::string address() const { return listener_->address(); }
 
--- a/src/include/pimentomoor/entry_selection.h
+++ b/src/include/pimentomoor/entry_selection.h
@@ -40,7 +40,9 @@
 std::vector<std::string> SelectEntriesNaive(std::span<const EntryCandidate> candidates,
                                             const EntrySelectionSettings& settings);
 
-/// Rounds a load to steps of half, so that small changes are not news to the whole cell.
-std::uint32_t QuantizeLoad(double parts_per_s);
+/// Rounds a load to steps of half, so that small changes are not news to the whole cell. Stays at `previous`, the
+/// last result, until the load has left its step by a quarter of one: a load that fluctuates by less than a tenth
+/// around a step's end would change the selection with each measurement otherwise.
+std::uint32_t QuantizeLoad(double parts_per_s, std::uint32_t previous);
 
 }  // namespace pimentomoor
--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -101,6 +101,7 @@
   TimePoint load_measured_{};
   std::uint64_t parts_at_measure_ = 0;
   double parts_per_s_ = 0;                   // smoothed
+  std::uint32_t reported_load_ = 0;          // parts_per_s_ in steps, as heartbeats tell it
   TimerId announce_timer_ = 0;               // 0 while no announcement is due
   std::map<std::string, TimerId> removals_;  // of searchers whose entry is gone, by id
   std::unique_ptr<CallerServer> caller_server_;
--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -71,13 +71,15 @@
  private:
   struct Part {
     ServiceState* service = nullptr;
+    // Unanswered exchanges. Those of a part that is done are kept as well, because their work ends with the caller.
     std::vector<ExchangePtr> running;
     std::vector<std::string> tried;  // ids of the searchers that got it
     unsigned arrivals = 0;           // times that it was sent
     unsigned ran = 0;                // of these, times that it may have run
     bool done = false;
-    std::string stamp;     // of the answer that is in the merge
-    TimePoint next_try{};  // of a hedge, or of another try when nothing is running
+    bool waits_for_allowance = false;  // at the last try, only the allowance of cold searchers was missing
+    std::string stamp;                 // of the answer that is in the merge
+    TimePoint next_try{};              // of a hedge, or of another try when nothing is running
   };
 
   void OnExchange(Exchange& exchange, ExchangeOutcome outcome, ResponseMessage& response) override;
--- a/src/include/pimentomoor/upstream_set.h
+++ b/src/include/pimentomoor/upstream_set.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "pimentomoor/cold_daemons.h"
 #include "pimentomoor/routing_table.h"
 #include "pimentomoor/shared_budget.h"
 #include "pimentomoor/upstream_link.h"
@@ -60,6 +61,9 @@
   ServiceState& Service(const std::string& name);
 
   [[nodiscard]] bool IsUsable(const UpstreamLink& link) const;
+  /// Whether this daemon may send to the searcher now or later: it is usable, and warm or among those that this
+  /// daemon warms up.
+  [[nodiscard]] bool MayServe(const ServiceState& service, const UpstreamLink& link) const;
   /// Takes the allowance of a cold searcher; true for a warm one.
   bool TakeColdAllowance(ServiceState& service, UpstreamLink& link);
   [[nodiscard]] bool MayRetry(const ServiceState& service) const;
@@ -79,6 +83,11 @@
   [[nodiscard]] const std::set<std::string>& outages() const { return outages_; }
 
  private:
+  [[nodiscard]] bool IsLimited(const ServiceState& service, const UpstreamLink& link) const {
+    return service.spec.cold_rate > 0 && link.cold(context_.loop.Now());
+  }
+  /// Among how many daemons the cold searcher's rate is divided; 0 when this daemon sends nothing to it.
+  [[nodiscard]] std::size_t ColdSendersOf(const std::string& searcher) const;
   void Remove(const std::shared_ptr<UpstreamLink>& link);
   /// Divides the service's searchers among the daemons again.
   void AssignSenders(ServiceState& service);
@@ -90,6 +99,7 @@
   std::size_t daemons_ = 0;
   std::string self_;
   std::vector<std::string> others_;
+  ColdDaemons cold_daemons_;
   std::map<std::string, ServiceState> services_;
   std::map<std::string, std::shared_ptr<UpstreamLink>> by_id_;  // announced searchers
   std::vector<std::shared_ptr<UpstreamLink>> leaving_;          // withdrawn, with requests that still run
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -144,6 +144,7 @@
   constexpr double kSmoothing = 0.4;
   const double rate = static_cast<double>(runs_.parts_sent - parts_at_measure_) / seconds;
   parts_per_s_ += kSmoothing * (rate - parts_per_s_);
+  reported_load_ = QuantizeLoad(parts_per_s_, reported_load_);
   parts_at_measure_ = runs_.parts_sent;
   load_measured_ = now;
 }
@@ -154,7 +155,7 @@
     candidates.push_back({.address = settings_.caller_address,
                           .failure_domain = settings_.failure_domain,
                           .capacity_millicores = settings_.capacity_millicores,
-                          .load_parts_per_s = QuantizeLoad(parts_per_s_)});
+                          .load_parts_per_s = reported_load_});
   }
   for (const auto& member : peers_->Alive()) {
     if (member.ready()) {
@@ -353,7 +354,7 @@
   self->set_ready(ready());
   self->set_store_answers(StoreAnswers());
   self->set_capacity_millicores(settings_.capacity_millicores);
-  self->set_load_parts_per_s(QuantizeLoad(parts_per_s_));
+  self->set_load_parts_per_s(reported_load_);
   for (const auto& entry : crashes_.Entries(loop_.Now())) {
     auto* report = heartbeat.add_crashes();
     report->set_fingerprint(entry.fingerprint);
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -119,7 +119,7 @@
 std::size_t RequestRun::ServableParts() const {
   return static_cast<std::size_t>(std::count_if(parts_.begin(), parts_.end(), [this](const Part& part) {
     return std::any_of(part.service->links.begin(), part.service->links.end(),
-                       [this](const auto& link) { return context_.upstreams.IsUsable(*link); });
+                       [&](const auto& link) { return context_.upstreams.MayServe(*part.service, *link); });
   }));
 }
 
@@ -162,6 +162,7 @@
       candidates.push_back(candidate);
     }
   }
+  part.waits_for_allowance = !links.empty();
   while (!links.empty()) {
     const std::size_t rotation = context_.rotation++;
     const std::size_t chosen = context_.settings.naive ? ChooseUpstreamNaive(candidates, latency_.expected, rotation)
@@ -260,6 +261,14 @@
     }
     return;
   }
+  // Waiting longer for the allowance of cold searchers only takes it from requests that can still be in time.
+  if (now >= objective_at_ && std::all_of(parts_.begin(), parts_.end(), [](const Part& part) {
+        return part.arrivals == 0 && part.waits_for_allowance;
+      })) {
+    context_.metrics.Count("pimentomoor_run_refused_total", 1, "reason=\"cold searchers\"");
+    Refuse();
+    return;
+  }
   if (gathers()) {
     CheckGather();
   }
@@ -342,7 +351,6 @@
   for (const auto& exchange : part.running) {
     exchange->link->Cancel(exchange, TimePoint::max());
   }
-  part.running.clear();
 }
 
 void RequestRun::OnPartFailed(std::size_t index) {
--- a/src/libgateway/upstream_set.cpp
+++ b/src/libgateway/upstream_set.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// The bounds hold for daemons that run for 4 s; by then a daemon whose path to others works has heard of them.
+constexpr Duration kUnknownDaemonsTime = std::chrono::seconds(4);
+
 // Whether `entry` was written before `held`: of an earlier lifetime, or earlier in the same one.
 bool IsOlder(const UpstreamEntry& entry, const UpstreamEntry& held) {
   return entry.born_ms < held.born_ms || (entry.born_ms == held.born_ms && entry.sequence < held.sequence);
@@ -105,6 +108,7 @@
 
 void UpstreamSet::SetDaemons(std::size_t counted, const std::string& self, std::vector<std::string> others) {
   daemons_ = counted;
+  cold_daemons_.Note(others, context_.loop.Now());
   if (others == others_ && self == self_) {
     return;
   }
@@ -130,18 +134,28 @@
   return link.usable() && !outages_.contains(link.entry().failure_domain);
 }
 
+bool UpstreamSet::MayServe(const ServiceState& service, const UpstreamLink& link) const {
+  return IsUsable(link) && (!IsLimited(service, link) || ColdSendersOf(link.entry().id) > 0);
+}
+
+std::size_t UpstreamSet::ColdSendersOf(const std::string& searcher) const {
+  // A daemon that has just started takes itself for the only one until it hears of the others.
+  if (daemons_ == 0 && context_.loop.Now() - started_ < kUnknownDaemonsTime) {
+    return 0;
+  }
+  return cold_daemons_.SendersTo(searcher, self_, cold_.slack * cold_.safety);
+}
+
 bool UpstreamSet::TakeColdAllowance(ServiceState& service, UpstreamLink& link) {
-  const TimePoint now = context_.loop.Now();
-  if (!link.cold(now) || service.spec.cold_rate <= 0) {
+  if (!IsLimited(service, link)) {
     return true;
   }
-  const double slack = cold_.slack * cold_.safety;
-  const std::size_t senders = ColdSenders(slack, others_.size() + 1);
-  if (PositionOf(link.entry().id, self_, others_) >= senders) {
+  const std::size_t senders = ColdSendersOf(link.entry().id);
+  if (senders == 0) {
     return false;
   }
   const double rate = service.spec.cold_rate * cold_.rate_factor * cold_.safety;
-  return link.cold_allowance.Take(now, rate, slack, senders);
+  return link.cold_allowance.Take(context_.loop.Now(), rate, cold_.slack * cold_.safety, senders);
 }
 
 bool UpstreamSet::MayRetry(const ServiceState& service) const {
--- a/src/libnet/caller_server.cpp
+++ b/src/libnet/caller_server.cpp
@@ -3,6 +3,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <optional>
 
 namespace pimentomoor {
@@ -209,7 +210,8 @@
     case Phase::kRunning:
       break;
     case Phase::kLingering:
-      if (waited >= kLingerTime && stream_->unsent() == 0) {
+      // A caller that doesn't read its answer is bounded as an idle one is.
+      if (waited >= (stream_->unsent() == 0 ? kLingerTime : std::max(kLingerTime, server_.options_.idle_timeout))) {
         server_.Remove(this);
       }
       break;
--- a/src/libroute/entry_selection.cpp
+++ b/src/libroute/entry_selection.cpp
@@ -53,8 +53,14 @@
   return selected;
 }
 
-std::uint32_t QuantizeLoad(double parts_per_s) {
+std::uint32_t QuantizeLoad(double parts_per_s, std::uint32_t previous) {
   constexpr double kStep = 1.5;
+  constexpr double kKeptSteps = 0.75;  // from the middle of the previous step; beyond 0.5 another one is nearer
+  const double load = std::max(parts_per_s, 1.0);
+  const double kept = std::max<double>(previous, 1.0);
+  if (std::abs(std::log(load / kept) / std::log(kStep)) < kKeptSteps) {
+    return previous;
+  }
   if (parts_per_s < 1.0) {
     return 0;
   }
--- a/src/testsuite/fixed_searcher.h
+++ b/src/testsuite/fixed_searcher.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "names.h"
 #include "pimentomoor/event_loop.h"
 #include "pimentomoor/tcp_stream.h"
 
@@ -24,8 +25,9 @@
     Connection(EventLoop& loop, int fd) : stream(std::make_unique<TcpStream>(loop, fd, *this)) {}
     void OnData(std::string_view /*bytes*/) override {
       static const std::string response =
-          "HTTP/1.1 200 OK\r\nX-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: " +
-          std::to_string(kFixedRecords * kRecordBytes) + "\r\n\r\n" + std::string(kFixedRecords * kRecordBytes, 'r');
+          std::string("HTTP/1.1 200 OK\r\n") + platform_names::kStampField +
+          ": 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: " + std::to_string(kFixedRecords * kRecordBytes) +
+          "\r\n\r\n" + std::string(kFixedRecords * kRecordBytes, 'r');
       stream->Write(response);
     }
     void OnEnd(StreamEnd /*end*/) override { stream.reset(); }
--- a/src/testsuite/gateway_load.h
+++ b/src/testsuite/gateway_load.h
@@ -19,7 +19,8 @@
   std::vector<std::string> routes;  // sent in turn
   std::string prefix;               // of the request ids
   double rate = 100;
-  Duration duration{};  // from the first answer of a directory
+  Duration duration{};     // from the first answer of a directory
+  Duration leave_after{};  // when a caller closes the connection of an unanswered request; 0 waits for the answer
 };
 
 class GatewayLoad {
@@ -32,7 +33,7 @@
   /// Members of a JSON object: the counts of all outcomes and the latency of successes.
   std::string Report() {
     std::string report;
-    for (const char* outcome : {"whole", "partial", "refused", "failed", "wrong"}) {
+    for (const char* outcome : {"whole", "partial", "refused", "failed", "wrong", "left"}) {
       report +=
           "\"" + std::string(outcome) + "\":" + std::to_string(counts_.count(outcome) ? counts_[outcome] : 0) + ",";
     }
@@ -51,7 +52,9 @@
       std::chrono::milliseconds(500);          // a stopping daemon closes idle connections later
   static constexpr unsigned kMaxConnects = 4;  // a refused connection has sent nothing
   // The reader keeps the fields of these roles; a caller reads the gather's in place of those of searchers.
-  inline static const FieldNames kNames{.request_id = "x-parts", .stamp = "x-stamp", .instance = "x-missing-parts"};
+  inline static const FieldNames kNames{.request_id = platform_names::kPartsField,
+                                        .stamp = platform_names::kStampField,
+                                        .instance = platform_names::kMissingPartsField};
 
   struct Connection final : TcpStreamHandler {
     explicit Connection(GatewayLoad& owner) : load(owner) {}
@@ -84,22 +87,23 @@
   void Resolve() {
     directory_ = std::make_unique<KeptHttpClient>(loop_, kNames,
                                                   options_.directories[resolved_++ % options_.directories.size()]);
-    directory_->Get("/api/resolve?name=search&region=r&zone=z", kResolveTimeout, [this](const auto& response) {
-      const bool answered = response && response->status == 200;
-      if (answered) {
-        addresses_.clear();
-        const auto document = ParseJson(response->body, "addresses");
-        for (const auto& address : RequireArray(document, "addrs").GetArray()) {
-          addresses_.emplace_back(address.GetString());
-        }
-        if (sent_ == 0) {
-          next_at_ = loop_.Now();
-          ends_at_ = next_at_ + options_.duration;
-          SendNext();
-        }
-      }
-      loop_.CallAfter(answered ? kTimeToLive : kResolveTimeout, [this] { Resolve(); });
-    });
+    directory_->Get(std::string(platform_names::kResolvePath) + "?name=search&region=r&zone=z", kResolveTimeout,
+                    [this](const auto& response) {
+                      const bool answered = response && response->status == 200;
+                      if (answered) {
+                        addresses_.clear();
+                        const auto document = ParseJson(response->body, "addresses");
+                        for (const auto& address : RequireArray(document, platform_names::kAddresses).GetArray()) {
+                          addresses_.emplace_back(address.GetString());
+                        }
+                        if (sent_ == 0) {
+                          next_at_ = loop_.Now();
+                          ends_at_ = next_at_ + options_.duration;
+                          SendNext();
+                        }
+                      }
+                      loop_.CallAfter(answered ? kTimeToLive : kResolveTimeout, [this] { Resolve(); });
+                    });
   }
 
   void SendNext() {
@@ -119,12 +123,18 @@
     connection->route = route;
     connection->id = options_.prefix + "-" + std::to_string(sent_);
     connection->since = loop_.Now();
+    const bool leaves = options_.leave_after > Duration::zero();
+    if (leaves) {
+      connection->id += MarkLeaving(connection->since + options_.leave_after);
+    }
     connection->request = (route == "order" ? "POST /" : "GET /") + route + " HTTP/1.1\r\nHost: " + kGatewayHost +
-                          "\r\nX-Request-Id: " + connection->id + "\r\nX-Deadline-Ms: 1000\r\n" +
+                          "\r\n" + platform_names::kRequestIdField + ": " + connection->id + "\r\n" +
+                          platform_names::kDeadlineField + ": 1000\r\n" +
                           (route == "order" ? "Content-Length: 5\r\n\r\nitem\n" : "\r\n");
     connection->reader.emplace(kNames, MessageLimits(), false, false);
     connection->timer =
-        loop_.CallAfter(kRequestTimeout, [this, key = connection.get()] { Finish(key, "failed", false); });
+        loop_.CallAfter(leaves ? options_.leave_after : kRequestTimeout,
+                        [this, leaves, key = connection.get()] { Finish(key, leaves ? "left" : "failed", false); });
     busy_[connection.get()] = connection;
     if (connection->stream == nullptr) {
       Connect(*connection);
--- a/src/testsuite/gateway_searchers.h
+++ b/src/testsuite/gateway_searchers.h
@@ -10,8 +10,11 @@
 #include <string>
 #include <vector>
 
+#include "arrival_checks.h"
 #include "gateway_store.h"
+#include "names.h"
 #include "pimentomoor/top_records.h"
+#include "standin_formats.h"
 
 namespace pimentomoor {
 
@@ -19,6 +22,7 @@
 constexpr unsigned kGatewayMinParts = 6;
 constexpr std::size_t kGatewayTopRecords = 10;
 constexpr const char* kGatewayHost = "search.test";
+constexpr const char* kGatewayUnsafeService = "order";
 constexpr const char* kGatewayShardService = "pages-";  // and the shard's number
 
 /// The records of one shard for a request, more than an answer holds: the same from each searcher of the shard.
@@ -73,40 +77,63 @@
     }
   }
 
+  /// Takes the searcher's failure domain out of service or back, in step with the store's object. A searcher that is
+  /// back is cold for `cold`.
+  void SetOut(bool out, Duration cold) {
+    checks_.SetOut(out ? loop_.Now() : TimePoint::max());
+    if (!out) {
+      checks_.SetCold(loop_.Now() + cold);
+      Announce(cold);
+    }
+  }
+
+  [[nodiscard]] std::string failure_domain() const { return "zone-" + replica_; }
   [[nodiscard]] std::string id() const { return service_ + "-" + replica_; }
-  [[nodiscard]] const std::map<std::string, unsigned>& runs() const { return runs_; }    // by request id
-  [[nodiscard]] unsigned spoilt() const { return spoilt_; }                              // answers, by a fault
-  [[nodiscard]] unsigned arrivals_after_drain() const { return arrivals_after_drain_; }  // past the platform's bound
+  [[nodiscard]] const std::map<std::string, unsigned>& runs() const { return runs_; }  // by request id
+  [[nodiscard]] unsigned spoilt() const { return spoilt_; }                            // answers, by a fault
+  [[nodiscard]] const ArrivalChecks& checks() const { return checks_; }
 
  private:
   using Exchange = std::shared_ptr<CallerExchange>;
   static constexpr unsigned kSlots = 3;
   static constexpr Duration kWork = std::chrono::milliseconds(4);
-  static constexpr Duration kDrainBound = std::chrono::milliseconds(3'000);  // of the platform
   // Without the expected instance, so that the reader keeps it among the other fields.
-  inline static const FieldNames kFieldNames{.request_id = "x-request-id", .deadline_ms = "x-deadline-ms"};
+  inline static const FieldNames kFieldNames{.request_id = platform_names::kRequestIdField,
+                                             .deadline_ms = platform_names::kDeadlineField};
+
+  static std::string Field(const std::string& name, const std::string& value) { return name + ": " + value + "\r\n"; }
 
   void Listen() {
     server_ = std::make_unique<CallerServer>(loop_, metrics_, kFieldNames, CallerServerOptions{.address = address_},
                                              [this](const Exchange& exchange) { Receive(exchange); });
   }
 
-  void Announce() {
-    const std::string state = draining_since_ == TimePoint::max() ? "ready" : "draining";
-    store_.Change("servers", id(),
-                  R"({"backend":")" + service_ + R"(","address":")" + address_ + R"(","zone":"zone-)" + replica_ +
-                      R"(","state":")" + state + R"(","slots":)" + std::to_string(kSlots) +
-                      R"(,"cold-left-ms":0,"born":1,"seq":)" + std::to_string(++sequence_) + "}");
+  void Announce(Duration cold_left = {}) {
+    store_.Change(std::string(platform_names::kUpstreamKind), id(),
+                  FormatSearcher({.id = id(),
+                                  .service = service_,
+                                  .address = address_,
+                                  .failure_domain = failure_domain(),
+                                  .slots = kSlots,
+                                  .draining = draining_since_ != TimePoint::max(),
+                                  .cold_left = cold_left,
+                                  .born_ms = 1,
+                                  .sequence = ++sequence_}));
   }
 
   void Receive(const Exchange& exchange) {
     const RequestMessage& request = exchange->request;
-    if (("\n" + request.forward_fields).find("\nx-expect-instance: " + id() + "\r\n") == std::string::npos) {
-      exchange->Respond({.status = 421, .fields = "X-Request-Id: " + request.request_id + "\r\nX-Not-Run: 1\r\n"});
+    const std::string expected = Field(platform_names::kExpectedInstanceField, id());
+    if (("\n" + request.forward_fields).find("\n" + expected) == std::string::npos) {
+      exchange->Respond({.status = 421,
+                         .fields = Field(platform_names::kRequestIdField, request.request_id) +
+                                   Field(platform_names::kNotRunField, "1")});
       return;
     }
-    if (draining_since_ != TimePoint::max() && loop_.Now() - draining_since_ > kDrainBound) {
-      ++arrivals_after_drain_;
+    checks_.OnArrival(request.request_id, draining_since_, loop_.Now());
+    if (const auto leaves_at = LeavesAt(request.request_id);
+        leaves_at && !service_.starts_with(kGatewayUnsafeService)) {
+      loop_.CallAt(*leaves_at + kLeaveBound, [this, exchange] { checks_.OnLeaveBound(!exchange->answered()); });
     }
     waiting_.push_back(exchange);
     Pump();
@@ -134,10 +161,10 @@
       ++spoilt_;
     }
     const bool shard = service_.starts_with(kGatewayShardService);
-    OutgoingResponse response{
-        .status = fault == SearcherFault::kFail ? 500 : 200,
-        .fields = "X-Request-Id: " + request_id + "\r\nX-Stamp: " + id() + "/" + request_id + "\r\n",
-        .body = shard ? MakeShardRecords(request_id, service_) : MakeSingleAnswer(request_id)};
+    OutgoingResponse response{.status = fault == SearcherFault::kFail ? 500 : 200,
+                              .fields = Field(platform_names::kRequestIdField, request_id) +
+                                        Field(platform_names::kStampField, id() + "/" + request_id),
+                              .body = shard ? MakeShardRecords(request_id, service_) : MakeSingleAnswer(request_id)};
     const std::string earlier =
         std::exchange(extra_, response.fields + "Content-Length: " + std::to_string(response.body.size()) +
                                   "\r\n\r\n" + response.body + "HTTP/1.1 200 OK\r\n");
@@ -165,30 +192,9 @@
   SearcherFault fault_ = SearcherFault::kNone;
   TimePoint paused_until_{};
   TimePoint draining_since_ = TimePoint::max();
-  unsigned running_ = 0, sequence_ = 0, fault_left_ = 0, spoilt_ = 0, arrivals_after_drain_ = 0;
+  unsigned running_ = 0, sequence_ = 0, fault_left_ = 0, spoilt_ = 0;
+  ArrivalChecks checks_;
   std::map<std::string, unsigned> runs_;
 };
 
-/// Routing table of the deployment. Its version is also the prefix "/version-N" of a route, so that tests see which
-/// one is in force.
-inline std::string MakeGatewayTable(const std::string& version) {
-  std::string table = R"({"version":VERSION,"routes":[
-    {"name":"pages","prefix":"/pages","type":"safe","top-k":10,"min-parts":0.75,COMMON,"gather":["pages-0","pages-1",
-      "pages-2","pages-3","pages-4","pages-5","pages-6","pages-7"]},
-    {"name":"fetch","prefix":"/fetch","type":"safe","backend":"fetch",COMMON},
-    {"name":"order","prefix":"/order","type":"unsafe","backend":"order",COMMON},
-    {"name":"version","prefix":"/version-VERSION","type":"safe","backend":"fetch",COMMON}],"services":[
-    SERVICE"fetch"},SERVICE"order"},SERVICE"pages-0"},SERVICE"pages-1"},SERVICE"pages-2"},SERVICE"pages-3"},
-    SERVICE"pages-4"},SERVICE"pages-5"},SERVICE"pages-6"},SERVICE"pages-7"}]})";
-  const auto replace = [&table](const std::string& mark, const std::string& text) {
-    for (std::size_t at = 0; (at = table.find(mark, at)) != std::string::npos;) {
-      table.replace(at, mark.size(), text);
-    }
-  };
-  replace("VERSION", version);
-  replace("COMMON", R"("host":"search.test","timeout-ms":1000,"slo-ms":200,"attempts":2)");
-  replace("SERVICE", R"({"health-path":"/health","max-conns":30,"name":)");
-  return table;
-}
-
 }  // namespace pimentomoor
--- a/src/testsuite/gateway_store.h
+++ b/src/testsuite/gateway_store.h
@@ -11,7 +11,7 @@
 
 #include "pimentomoor/caller_server.h"
 #include "pimentomoor/http.h"
-#include "pimentomoor/json_text.h"
+#include "standin_formats.h"
 
 namespace pimentomoor {
 
@@ -25,14 +25,13 @@
 
   /// Creates, replaces or deletes an object; `spec` is JSON and isn't checked.
   void Change(const std::string& kind, const std::string& name, const std::string& spec, bool deleted = false) {
-    const std::string object = "{\"meta\":{\"name\":" + JsonQuote(name) + ",\"rev\":" + std::to_string(++revision_) +
-                               "},\"spec\":" + spec + "}";
+    const std::string object = FormatObject(name, ++revision_, spec);
     if (deleted) {
       objects_[kind].erase(name);
     } else {
       objects_[kind][name] = object;
     }
-    history_[kind][revision_] = "{\"object\":" + object + ",\"deleted\":" + (deleted ? "true}" : "false}");
+    history_[kind][revision_] = FormatEvent(object, deleted);
     std::erase_if(watches_, [&](const auto& entry) { return RespondWatch(entry.second, false); });
   }
 
@@ -55,7 +54,7 @@
   }
 
  private:
-  static constexpr std::string_view kPath = "/api/objects/";
+  static constexpr std::string_view kPath = platform_names::kObjectsPath;
   static constexpr std::size_t kPageSize = 50;
 
   struct Watch {
@@ -77,8 +76,7 @@
     }
     // A watch that missed changes keeps its revision, so that the next one from there gets 410.
     const std::uint64_t revision = watch.misses_changes ? watch.after : revision_;
-    watch.exchange->Respond(
-        {.body = "{\"events\":[" + events + R"(],"store-revision":)" + std::to_string(revision) + "}"});
+    watch.exchange->Respond({.body = FormatEvents(events, revision)});
     return true;
   }
 
@@ -109,9 +107,7 @@
       for (std::size_t i = 0; i < kPageSize && next != objects.end(); ++i, ++next) {
         items += (items.empty() ? "" : ",") + next->second;
       }
-      exchange->Respond({.body = "{\"items\":[" + items + R"(],"has-more":)" +
-                                 (next == objects.end() ? "false" : "true") + R"(,"store-revision":)" +
-                                 std::to_string(revision_) + "}"});
+      exchange->Respond({.body = FormatPage(items, next != objects.end(), revision_)});
     }
   }
 
--- /dev/null
+++ b/src/testsuite/scripted_searcher.h
@@ -0,0 +1,80 @@
+// A searcher that answers each request with bytes of a script and then ends the connection in a given way, for tests
+// of what the gateway makes of it.
+#pragma once
+
+#include <sys/socket.h>
+
+#include <list>
+#include <memory>
+#include <string>
+
+#include "names.h"
+#include "pimentomoor/event_loop.h"
+#include "pimentomoor/tcp_stream.h"
+
+namespace pimentomoor {
+
+/// What a searcher does with each request. Requests must arrive in one piece.
+struct SearcherScript {
+  enum class End { kKeep, kClose, kReset };
+  std::string bytes;  // empty: no byte of an answer
+  End end = End::kKeep;
+};
+
+/// Header and body of a success without a length, which ends with the connection.
+inline std::string AnswerWithoutLength(const std::string& body) {
+  return std::string("HTTP/1.1 200 OK\r\n") + platform_names::kStampField + ": s\r\n\r\n" + body;
+}
+inline std::string WholeAnswer(const std::string& body) {
+  return std::string("HTTP/1.1 200 OK\r\n") + platform_names::kStampField +
+         ": s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+class ScriptedSearcher {
+ public:
+  ScriptedSearcher(EventLoop& loop, SearcherScript script)
+      : loop_(loop), script_(std::move(script)), listener_(loop, "127.0.0.1:0", [this](int fd) { Accept(fd); }) {}
+
+  [[nodiscard]] std::string address() const { return listener_.address(); }
+  [[nodiscard]] unsigned arrivals() const { return arrivals_; }
+  /// Connections that the gateway has closed while a request was unanswered.
+  [[nodiscard]] unsigned cancelled() const { return cancelled_; }
+
+ private:
+  struct Connection final : TcpStreamHandler {
+    explicit Connection(ScriptedSearcher& owner) : searcher(owner) {}
+    void OnData(std::string_view /*bytes*/) override { searcher.Respond(*this); }
+    void OnEnd(StreamEnd /*end*/) override {
+      searcher.cancelled_ += searcher.script_.bytes.empty() ? 1 : 0;
+      stream.reset();
+    }
+    ScriptedSearcher& searcher;
+    std::unique_ptr<TcpStream> stream;
+  };
+
+  void Accept(int fd) {
+    if (script_.end == SearcherScript::End::kReset) {
+      const linger reset_at_close{.l_onoff = 1, .l_linger = 0};
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_at_close, sizeof(reset_at_close));
+    }
+    Connection& connection = connections_.emplace_back(*this);
+    connection.stream = std::make_unique<TcpStream>(loop_, fd, connection);
+  }
+
+  void Respond(Connection& connection) {
+    ++arrivals_;
+    connection.stream->Write(script_.bytes);
+    if (script_.end != SearcherScript::End::kKeep) {
+      // Later, so that the bytes are read before the end of the connection.
+      loop_.CallAfter(std::chrono::milliseconds(20), [&connection] { connection.stream.reset(); });
+    }
+  }
+
+  EventLoop& loop_;
+  const SearcherScript script_;
+  unsigned arrivals_ = 0, cancelled_ = 0;
+  std::list<Connection> connections_;
+  TcpListener listener_;
+};
+
+}  // namespace pimentomoor
