--- a/src/include/pimentomoor/tcp_stream.h
+++ b/src/include/pimentomoor/tcp_stream.h
@@ -59,6 +59,8 @@
   void ShutdownWrite();
 
   [[nodiscard]] bool connected() const { return connected_; }
+  /// The connection failed because it was reset after the peer's listener had taken it.
+  [[nodiscard]] bool connect_reset() const { return connect_reset_; }
   [[nodiscard]] std::size_t unsent() const { return unsent_.size(); }
 
  private:
@@ -70,6 +72,7 @@
   TcpStreamHandler& handler_;
   IoSocket io_;
   bool connected_ = true;
+  bool connect_reset_ = false;
   bool shutdown_requested_ = false;
   std::string unsent_;  // bytes that the kernel has not taken, in order
 };
--- a/src/libgateway/upstream_connection.h
+++ b/src/libgateway/upstream_connection.h
@@ -26,6 +26,7 @@
   /// When an idle connection is too old for another request, because its server may be closing it.
   [[nodiscard]] bool stale(TimePoint now) const { return now >= idle_until_; }
   [[nodiscard]] TimePoint opened_at() const { return opened_at_; }
+  [[nodiscard]] bool connect_reset() const { return stream_ != nullptr && stream_->connect_reset(); }
 
  private:
   void OnConnected() override;
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -106,12 +106,14 @@
 }
 
 void UpstreamLink::OnConnectFailed(UpstreamConnection* connection) {
+  // A connection that was taken and then reset tells no crash: the searcher may close all its connections and go on.
+  const bool reset = connection->connect_reset();
   Drop(connection);
   context_.metrics.Count("pimentomoor_upstream_connect_failures_total");
   const TimePoint now = context_.loop.Now();
   RecordConnectFailure(signals, now);
   for (const auto& [lost_at, request] : std::exchange(suspects_, {})) {
-    if (now - lost_at < kCrashWindow) {
+    if (now - lost_at < kCrashWindow && !reset) {
       context_.metrics.Count("pimentomoor_upstream_crashes_total");
       context_.on_crash(*request);
     }
--- a/src/libnet/tcp_stream.cpp
+++ b/src/libnet/tcp_stream.cpp
@@ -130,6 +130,7 @@
   int error = 0;
   socklen_t size = sizeof(error);
   if (getsockopt(io_.fd(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+    connect_reset_ = error == ECONNRESET;
     handler_.OnEnd(StreamEnd::kConnectFailed);
     return;
   }
