--- a/src/libgateway/request_faults_test.cpp
+++ b/src/libgateway/request_faults_test.cpp
@@ -22,7 +22,7 @@
 using std::chrono::seconds;
 
 constexpr Duration kLeaveBound = milliseconds(500);  // docs/platform.md, section 3
-constexpr Duration kAtOnce = milliseconds(120);  // below each objective, with time for a busy machine
+constexpr Duration kAtOnce = milliseconds(120);      // below each objective, with time for a busy machine
 constexpr const char* kRecord = "0123456789abcdef";
 // The budget of retries opens 500 ms after the start when its window is this short.
 constexpr RetryBudgetSettings kOpenBudget{.window = milliseconds(20)};
