--- a/src/include/pimentomoor/tcp_stream.h
+++ b/src/include/pimentomoor/tcp_stream.h
@@ -59,6 +59,8 @@
   void ShutdownWrite();
 
   [[nodiscard]] bool connected() const { return connected_; }
+  /// Nothing listens at the address. A connection that was taken and then reset, or not answered, is not refused.
+  [[nodiscard]] bool connect_refused() const { return connect_refused_; }
   [[nodiscard]] std::size_t unsent() const { return unsent_.size(); }
 
  private:
@@ -70,6 +72,7 @@
   TcpStreamHandler& handler_;
   IoSocket io_;
   bool connected_ = true;
+  bool connect_refused_ = false;
   bool shutdown_requested_ = false;
   std::string unsent_;  // bytes that the kernel has not taken, in order
 };
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -158,8 +158,7 @@
   void Drop(UpstreamConnection* connection);
   /// A request was lost without a byte of an answer: connects at once, because a refused connection tells a crash.
   void SuspectCrash(const ExchangePtr& exchange);
-  /// `refused` by the host, rather than overdue: also a daemon that had no processor time finds connections overdue.
-  void OnConnectFailed(UpstreamConnection* connection, bool refused);
+  void OnConnectFailed(UpstreamConnection* connection);
   /// Reports the requests that were lost just before a connection was refused.
   void ReportCrash();
 
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -101,11 +101,13 @@
   context_.metrics.Count("pimentomoor_upstream_connections_opened_total");
   if (!opened->Open()) {
     // Reported in a later turn, so that Send() never calls its caller back.
-    context_.loop.Post([self = shared_from_this(), opened] { self->OnConnectFailed(opened, false); });
+    context_.loop.Post([self = shared_from_this(), opened] { self->OnConnectFailed(opened); });
   }
 }
 
-void UpstreamLink::OnConnectFailed(UpstreamConnection* connection, bool refused) {
+void UpstreamLink::OnConnectFailed(UpstreamConnection* connection) {
+  // One that was reset or is overdue tells no crash: the searcher may close all its connections and go on.
+  const bool refused = connection->connect_refused();
   Drop(connection);
   context_.metrics.Count("pimentomoor_upstream_connect_failures_total");
   RecordConnectFailure(signals, context_.loop.Now());
@@ -204,7 +206,7 @@
     }
   }
   for (auto* connection : failed) {
-    OnConnectFailed(connection, false);
+    OnConnectFailed(connection);
   }
   for (const auto& exchange : overdue) {
     const auto found = std::find_if(connections_.begin(), connections_.end(),
