Replace measure.sh and plot.awk by an experiment tool with named experiments

Cause: each table of docs/measurements.md needed its own options of measure.sh and two awk calls, a run that was cut short had to start again, and no experiment compared the gateway's naive variant with its policy.

experiment.sh runs the definitions of src/testsuite/experiments and writes rows, manifest, table and plots to one folder; it keeps the rows of a run that was cut short and refuses to mix commits. The scenarios of measure.sh move unchanged to experiment_query.sh. summarize.awk checks each row before it summarizes, and gnuplot draws the plots. experiment_gateway.sh has the gateway's scenarios; for them the stand-in gets a slow searcher, a fault of each Nth answer, and counts of arrivals and connections. The ports of the gateway's stand-ins can be moved, so that two runs do not meet.

Ruled out: a second table and plot path for the gateway, since rows of both have one format.

--- a/src/libnet/caller_server.cpp
+++ b/src/libnet/caller_server.cpp
@@ -267,6 +267,7 @@
 }
 
 void CallerServer::Accept(int fd) {
+  metrics_.Count("pimentomoor_caller_connections_total");
   if (connections_.size() >= options_.max_connections) {
     metrics_.Count("pimentomoor_caller_connections_refused_total");
     close(fd);
--- a/src/testsuite/gateway_cluster.sh
+++ b/src/testsuite/gateway_cluster.sh
@@ -2,31 +2,44 @@
 # cluster.sh, whose cluster_stop ends the processes.
 #
 # Store 127.0.0.1:21000, its admin 21001, searchers from 21002. Daemon N has the address 127.0.0.N, since daemons find
-# each other on one port: callers 21100, readiness 21110, directory 21120, peers 21130.
+# each other on one port: callers 21100, readiness 21110, directory 21120, peers 21130. GATEWAY_PORT moves all ports, so
+# that two runs on one machine do not meet. GATEWAY_SETTINGS is added to the settings of each daemon.
 
+GATEWAY_PORT="${GATEWAY_PORT:-21000}"
+GATEWAY_SETTINGS=""
 GATEWAY_PIDS=()
 
-gateway_admin() { curl -sS -m 2 "http://127.0.0.1:21001/$1"; }  # CALL: see gateway_standin_main.cpp
-gateway_resolve() { curl -s -m 1 "http://127.0.0.$1:21120/api/resolve?name=search&region=r&zone=z"; }  # N
+gateway_address() { echo "127.0.0.$1:$((GATEWAY_PORT + $2))"; }  # N OFFSET
+gateway_admin() { curl -sS -m 2 "http://$(gateway_address 1 1)/$1"; }  # CALL: see gateway_standin_main.cpp
+fault() {  # NAME_PREFIX FAULT [COUNT] [MS] [EVERY]: of searchers
+  gateway_admin "searcher?name=$1&fault=$2&count=${3:-0}&ms=${4:-0}&every=${5:-1}"
+}
+gateway_resolve() {  # N
+  curl -s -m 1 "http://$(gateway_address "$1" 120)/api/resolve?name=search&region=r&zone=z"
+}
 gateway_get() {  # N PATH ARGUMENTS...
-  curl -s -m 2 -H "Host: search.test" -H "X-Request-Id: curl-$RANDOM" "${@:3}" "http://127.0.0.$1:21100/$2"
+  curl -s -m 2 -H "Host: search.test" -H "X-Request-Id: curl-$RANDOM" "${@:3}" \
+    "http://$(gateway_address "$1" 100)/$2"
 }
 gateway_answers() { [ "$(gateway_get "$1" "$2" -o /dev/null -w '%{http_code}')" = 200 ]; }  # N PATH
 gateway_load() {  # ARGUMENTS...
-  "$CLUSTER_BUILD/pimentomoor_gateway_standin" load --directory 127.0.0.1:21120 --directory 127.0.0.2:21120 \
-    --directory 127.0.0.3:21120 "$@"
+  "$CLUSTER_BUILD/pimentomoor_gateway_standin" load --port "$GATEWAY_PORT" --directory "$(gateway_address 1 120)" \
+    --directory "$(gateway_address 2 120)" --directory "$(gateway_address 3 120)" "$@"
 }
 
+kill_gateway() { kill -9 "${GATEWAY_PIDS[$1]}"; wait "${GATEWAY_PIDS[$1]}" 2>/dev/null; }  # N
+
 gateway_start_daemon() {  # FOLDER N
   cat >"$1/gateway$2.yaml" <<SETTINGS
 host: gateway-$2
 failure_domain: zone-$([ "$2" = 2 ] && echo b || echo a)
-caller_address: 127.0.0.$2:21100
-ready_address: 127.0.0.$2:21110
-directory_address: 127.0.0.$2:21120
-peer_address: 127.0.0.$2:21130
-seed_peers: ["127.0.0.1:21130", "127.0.0.2:21130", "127.0.0.3:21130"]
-store_address: 127.0.0.1:21000
+caller_address: $(gateway_address "$2" 100)
+ready_address: $(gateway_address "$2" 110)
+directory_address: $(gateway_address "$2" 120)
+peer_address: $(gateway_address "$2" 130)
+seed_peers: ["$(gateway_address 1 130)", "$(gateway_address 2 130)", "$(gateway_address 3 130)"]
+store_address: 127.0.0.1:$GATEWAY_PORT
+$GATEWAY_SETTINGS
 SETTINGS
   "$CLUSTER_BUILD/pimentomoor" gateway --settings "$1/gateway$2.yaml" 2>>"$1/gateway$2.log" &
   GATEWAY_PIDS[$2]=$!
@@ -36,7 +49,7 @@
 gateway_start() {  # FOLDER
   local n
   mkdir -p "$1"
-  "$CLUSTER_BUILD/pimentomoor_gateway_standin" serve 2>"$1/gateway_standin.log" &
+  "$CLUSTER_BUILD/pimentomoor_gateway_standin" serve --port "$GATEWAY_PORT" 2>"$1/gateway_standin.log" &
   CLUSTER_PIDS+=($!)
   cluster_wait 10 gateway_admin counters >/dev/null 2>&1 || return 1
   for n in 1 2 3; do gateway_start_daemon "$1" $n; done
--- a/src/testsuite/gateway_load.h
+++ b/src/testsuite/gateway_load.h
@@ -19,12 +19,16 @@
   std::vector<std::string> routes;  // sent in turn
   std::string prefix;               // of the request ids
   double rate = 100;
+  unsigned seed = 0;    // of the choice of daemons
   Duration duration{};  // from the first answer of a directory
 };
 
 class GatewayLoad {
  public:
-  GatewayLoad(EventLoop& loop, GatewayLoadOptions options) : loop_(loop), options_(std::move(options)) { Resolve(); }
+  GatewayLoad(EventLoop& loop, GatewayLoadOptions options)
+      : loop_(loop), options_(std::move(options)), random_(options_.seed) {
+    Resolve();
+  }
 
   [[nodiscard]] bool done() const { return sent_ > 0 && loop_.Now() >= ends_at_ && busy_.empty(); }
   [[nodiscard]] bool wrong() const { return counts_.contains("wrong"); }
@@ -37,13 +41,21 @@
           "\"" + std::string(outcome) + "\":" + std::to_string(counts_.count(outcome) ? counts_[outcome] : 0) + ",";
     }
     std::sort(latencies_.begin(), latencies_.end());
-    const auto quantile = [this](std::size_t percent) {
-      return std::to_string(latencies_.empty() ? 0 : latencies_[latencies_.size() * percent / 100]);
+    const auto quantile = [this](std::size_t permille) {
+      return std::to_string(latencies_.empty() ? 0 : latencies_[latencies_.size() * permille / 1'000]);
     };
-    return report + "\"p50_ms\":" + quantile(50) + ",\"p99_ms\":" + quantile(99);
+    const auto within = std::upper_bound(latencies_.begin(), latencies_.end(), kObjectiveMs) - latencies_.begin();
+    return report + "\"p50_ms\":" + quantile(500) + ",\"p99_ms\":" + quantile(990) +
+           ",\"p99_9_ms\":" + quantile(999) + ",\"answered\":" + PerRequest(static_cast<double>(latencies_.size())) +
+           ",\"within_objective\":" + PerRequest(static_cast<double>(within)) +
+           ",\"coverage\":" + PerRequest(parts_received_);
+  }
+  [[nodiscard]] std::string PerRequest(double total) const {
+    return std::to_string(sent_ == 0 ? 0 : total / static_cast<double>(sent_));
   }
 
  private:
+  static constexpr double kObjectiveMs = 200;  // of all routes, see MakeGatewayTable()
   static constexpr Duration kTimeToLive = std::chrono::seconds(2);
   static constexpr Duration kResolveTimeout = std::chrono::milliseconds(300);
   static constexpr Duration kRequestTimeout = std::chrono::milliseconds(2'000);  // twice the routes' timeout
@@ -118,7 +130,7 @@
     }
     connection->route = route;
     connection->id = options_.prefix + "-" + std::to_string(sent_);
-    connection->since = loop_.Now();
+    connection->since = next_at_;  // the intended start, so that a delayed sender doesn't hide latency
     connection->request = (route == "order" ? "POST /" : "GET /") + route + " HTTP/1.1\r\nHost: " + kGatewayHost +
                           "\r\nX-Request-Id: " + connection->id + "\r\nX-Deadline-Ms: 1000\r\n" +
                           (route == "order" ? "Content-Length: 5\r\n\r\nitem\n" : "\r\n");
@@ -164,6 +176,8 @@
                                     answer.instance == std::to_string(kGatewayShards - services.size()) &&
                                     answer.body == MergeRecordsNaive(records, kGatewayTopRecords)
                               : services.size() == 1 && answer.body == MakeSingleAnswer(connection.id);
+    parts_received_ +=
+        right ? static_cast<double>(services.size()) / static_cast<double>(gather ? kGatewayShards : 1) : 0;
     return !right ? "wrong" : !gather || services.size() == kGatewayShards ? "whole" : "partial";
   }
 
@@ -199,7 +213,8 @@
   std::vector<std::shared_ptr<Connection>> idle_;
   std::map<std::string, unsigned> counts_;
   std::vector<double> latencies_;
-  std::mt19937 random_{std::random_device()()};
+  double parts_received_ = 0;  // shares of each request's parts
+  std::mt19937 random_;
 };
 
 }  // namespace pimentomoor
--- a/src/testsuite/gateway_searchers.h
+++ b/src/testsuite/gateway_searchers.h
@@ -43,6 +43,7 @@
   kExtra,  // sends the answer to an earlier request ahead of this one
   kGone,   // closes its listener and connections; its entry stays
   kDrain,  // announces that it takes no new requests
+  kSlow,   // takes another time for each request
 };
 
 class GatewaySearcher {
@@ -55,11 +56,15 @@
     Announce();
   }
 
-  /// `count` limits the answers that kFail, kReset, kLose and kExtra spoil; `pause` is for kPause. kNone makes the
-  /// searcher healthy again.
-  void SetFault(SearcherFault fault, unsigned count, Duration pause) {
+  /// `count` limits the answers that kFail, kReset, kLose and kExtra spoil, of which they leave all but each
+  /// `every`th whole; `time` is the length of kPause and the work time of kSlow. kNone makes the searcher healthy
+  /// again.
+  void SetFault(SearcherFault fault, unsigned count, unsigned every, Duration time) {
+    const Duration pause = fault == SearcherFault::kPause ? time : Duration{};
     fault_ = fault;
     fault_left_ = count;
+    fault_every_ = std::max(1U, every);
+    work_ = fault == SearcherFault::kSlow ? time : kWork;
     paused_until_ = loop_.Now() + pause;
     loop_.CallAfter(pause, [this] { Pump(); });
     if (fault == SearcherFault::kGone) {
@@ -74,8 +79,10 @@
   }
 
   [[nodiscard]] std::string id() const { return service_ + "-" + replica_; }
-  [[nodiscard]] const std::map<std::string, unsigned>& runs() const { return runs_; }    // by request id
-  [[nodiscard]] unsigned spoilt() const { return spoilt_; }                              // answers, by a fault
+  [[nodiscard]] const std::string& service() const { return service_; }
+  [[nodiscard]] const std::map<std::string, unsigned>& runs() const { return runs_; }          // by request id
+  [[nodiscard]] const std::map<std::string, unsigned>& arrivals() const { return arrivals_; }  // by request id
+  [[nodiscard]] unsigned spoilt() const { return spoilt_; }                                    // answers, by a fault
   [[nodiscard]] unsigned arrivals_after_drain() const { return arrivals_after_drain_; }  // past the platform's bound
 
  private:
@@ -101,6 +108,7 @@
 
   void Receive(const Exchange& exchange) {
     const RequestMessage& request = exchange->request;
+    ++arrivals_[request.request_id];
     if (("\n" + request.forward_fields).find("\nx-expect-instance: " + id() + "\r\n") == std::string::npos) {
       exchange->Respond({.status = 421, .fields = "X-Request-Id: " + request.request_id + "\r\nX-Not-Run: 1\r\n"});
       return;
@@ -118,7 +126,7 @@
       waiting_.pop_front();
       ++running_;
       ++runs_[exchange->request.request_id];
-      loop_.CallAfter(kWork, [this, exchange] {
+      loop_.CallAfter(work_, [this, exchange] {
         --running_;
         Respond(exchange);
         Pump();
@@ -128,8 +136,9 @@
 
   void Respond(const Exchange& exchange) {
     const std::string& request_id = exchange->request.request_id;
-    const SearcherFault fault = fault_left_ > 0 ? fault_ : SearcherFault::kNone;
-    if (fault_left_ > 0) {
+    const bool spoil = fault_left_ > 0 && ++answers_ % fault_every_ == 0;
+    const SearcherFault fault = spoil ? fault_ : SearcherFault::kNone;
+    if (spoil) {
       --fault_left_;
       ++spoilt_;
     }
@@ -165,8 +174,10 @@
   SearcherFault fault_ = SearcherFault::kNone;
   TimePoint paused_until_{};
   TimePoint draining_since_ = TimePoint::max();
-  unsigned running_ = 0, sequence_ = 0, fault_left_ = 0, spoilt_ = 0, arrivals_after_drain_ = 0;
-  std::map<std::string, unsigned> runs_;
+  Duration work_ = kWork;
+  unsigned running_ = 0, sequence_ = 0, answers_ = 0, fault_left_ = 0, fault_every_ = 1, spoilt_ = 0;
+  unsigned arrivals_after_drain_ = 0;
+  std::map<std::string, unsigned> runs_, arrivals_;
 };
 
 /// Routing table of the deployment. Its version is also the prefix "/version-N" of a route, so that tests see which
--- a/src/testsuite/gateway_standin_main.cpp
+++ b/src/testsuite/gateway_standin_main.cpp
@@ -2,7 +2,8 @@
 // gateway daemons and checks the answers.
 //
 // Admin calls of `serve`: /store?mode=ok|unavailable|silent|drop-history, /table?version=N, /counters?prefix=PREFIX
-// (of request ids), /searcher?name=PREFIX&fault=none|pause|fail|reset|lose|extra|gone|drain&count=N&ms=N.
+// (of request ids),
+// /searcher?name=PREFIX&fault=none|pause|fail|reset|lose|extra|gone|drain|slow&count=N&every=N&ms=N.
 #include <tclap/CmdLine.h>
 
 #include "gateway_load.h"
@@ -23,8 +24,8 @@
          {"fetch", "order", "pages-0", "pages-1", "pages-2", "pages-3", "pages-4", "pages-5", "pages-6", "pages-7"}) {
       for (const std::string replica : {"a", "b"}) {
         const auto offset = static_cast<unsigned>(searchers_.size());
-        searchers_.push_back(
-            std::make_unique<GatewaySearcher>(loop, metrics_, store_, service, replica, Address(port + 2 + offset)));
+        searchers_.push_back(std::make_unique<GatewaySearcher>(loop, searcher_metrics_, store_, service, replica,
+                                                               Address(port + 2 + offset)));
       }
     }
     store_.Change("config", "main", MakeGatewayTable("1"));
@@ -40,7 +41,8 @@
     };
     const auto number = [&query](const char* key) { return std::atoi(QueryParameter(query, key).c_str()); };
     const std::size_t mode = index("mode", {"ok", "unavailable", "silent", "drop-history"});
-    const std::size_t fault = index("fault", {"none", "pause", "fail", "reset", "lose", "extra", "gone", "drain"});
+    const std::size_t fault =
+        index("fault", {"none", "pause", "fail", "reset", "lose", "extra", "gone", "drain", "slow"});
     OutgoingResponse response;
     if (path == "/store" && mode == 3) {
       store_.DropHistory();
@@ -48,11 +50,11 @@
       store_.SetMode(static_cast<GatewayStore::Mode>(mode));
     } else if (path == "/table") {
       store_.Change("config", "main", MakeGatewayTable(QueryParameter(query, "version")));
-    } else if (path == "/searcher" && fault <= static_cast<std::size_t>(SearcherFault::kDrain)) {
+    } else if (path == "/searcher" && fault <= static_cast<std::size_t>(SearcherFault::kSlow)) {
       for (const auto& searcher : searchers_) {
         if (searcher->id().starts_with(QueryParameter(query, "name"))) {
           searcher->SetFault(static_cast<SearcherFault>(fault), static_cast<unsigned>(number("count")),
-                             std::chrono::milliseconds(number("ms")));
+                             static_cast<unsigned>(number("every")), std::chrono::milliseconds(number("ms")));
         }
       }
     } else if (path == "/counters") {
@@ -65,38 +67,59 @@
 
   std::string Counters(const std::string& prefix) const {
     std::map<std::string, unsigned> unsafe_runs;
-    unsigned spoilt = 0, late = 0, repeated = 0;
+    std::map<std::pair<std::string, std::string>, unsigned> arrivals;  // by service and request id
+    unsigned spoilt = 0, late = 0, repeated = 0, extra = 0;
     for (const auto& searcher : searchers_) {
       spoilt += searcher->spoilt();
       late += searcher->arrivals_after_drain();
       for (const auto& [id, count] : searcher->runs()) {
         repeated += id.starts_with(prefix) && searcher->id().starts_with("order") && (unsafe_runs[id] += count) > 1;
       }
+      for (const auto& [id, count] : searcher->arrivals()) {
+        unsigned& seen = arrivals[{searcher->service(), id}];
+        extra += id.starts_with(prefix) ? count - (seen == 0 ? 1 : 0) : 0;
+        seen += count;
+      }
     }
     return "{\"repeated_unsafe\":" + std::to_string(repeated) + ",\"spoilt\":" + std::to_string(spoilt) +
-           ",\"arrivals_after_drain\":" + std::to_string(late) + "}\n";
+           ",\"arrivals_after_drain\":" + std::to_string(late) + ",\"extra_sends\":" + std::to_string(extra) +
+           ",\"connections\":" + std::to_string(searcher_metrics_.counter("pimentomoor_caller_connections_total")) +
+           "}\n";
   }
 
   Metrics metrics_;
+  Metrics searcher_metrics_;
   GatewayStore store_;
   std::vector<std::unique_ptr<GatewaySearcher>> searchers_;
   CallerServer admin_;
 };
 
+std::string ReadCounters(EventLoop& loop, const FieldNames& names, const std::string& address,
+                         const std::string& prefix) {
+  KeptHttpClient admin(loop, names, address);
+  std::optional<ResponseMessage> counters;
+  admin.Get("/counters?prefix=" + prefix, std::chrono::seconds(2), [&](auto answer) { counters = answer; });
+  if (!loop.RunUntil([&counters] { return counters.has_value(); }, std::chrono::seconds(3))) {
+    throw std::runtime_error("read the searchers' counters: no answer from " + address);
+  }
+  return counters->body;
+}
+
 int RunLoad(EventLoop& loop, const FieldNames& names, const std::string& admin_address,
             const GatewayLoadOptions& options) {
+  const std::string before = ReadCounters(loop, names, admin_address, options.prefix);
   GatewayLoad load(loop, options);
   if (!loop.RunUntil([&load] { return load.done(); }, options.duration + std::chrono::seconds(20))) {
     throw std::runtime_error("run load: no directory answers, or requests stay unfinished");
   }
-  KeptHttpClient admin(loop, names, admin_address);
-  std::optional<ResponseMessage> counters;
-  admin.Get("/counters?prefix=" + options.prefix, std::chrono::seconds(2), [&](auto answer) { counters = answer; });
-  if (!loop.RunUntil([&counters] { return counters.has_value(); }, std::chrono::seconds(3))) {
-    throw std::runtime_error("read the searchers' counters: no answer from " + admin_address);
-  }
-  const auto repeated = RequireCount(ParseJson(counters->body, "counters"), "repeated_unsafe");
-  std::cout << "{" << load.Report() << ",\"repeated_unsafe\":" << repeated << "}\n";
+  const std::string after = ReadCounters(loop, names, admin_address, options.prefix);
+  const auto document = ParseJson(after, "counters");
+  const auto repeated = RequireCount(document, "repeated_unsafe");
+  const auto connections =
+      RequireCount(document, "connections") - RequireCount(ParseJson(before, "counters"), "connections");
+  std::cout << "{" << load.Report() << ",\"repeated_unsafe\":" << repeated << ",\"extra_sends_per_request\":"
+            << load.PerRequest(static_cast<double>(RequireCount(document, "extra_sends")))
+            << ",\"connections_per_request\":" << load.PerRequest(static_cast<double>(connections)) << "}\n";
   return load.wrong() || repeated > 0 ? 1 : 0;
 }
 
@@ -109,6 +132,7 @@
   Names directories("", "directory", "Directory of a daemon.", false, "IP:port", line);
   Names routes("", "route", "pages, fetch or order; without it all.", false, "NAME", line);
   TCLAP::ValueArg<double> rate("", "rate", "Requests per second.", false, 100, "N", line);
+  TCLAP::ValueArg<unsigned> seed("", "seed", "Of the choice of daemons; 0 draws one.", false, 0, "N", line);
   line.parse(argc, argv);
   const SystemClock clock;
   EventLoop loop(clock);
@@ -129,6 +153,7 @@
                   .routes = routes.isSet() ? routes.getValue() : all,
                   .prefix = "load-" + std::to_string(std::random_device()()),
                   .rate = rate.getValue(),
+                  .seed = seed.getValue() == 0 ? std::random_device()() : seed.getValue(),
                   .duration = std::chrono::seconds(seconds.getValue())});
 }
 
--- a/src/testsuite/gateway_test.sh
+++ b/src/testsuite/gateway_test.sh
@@ -33,8 +33,6 @@
 not_named() { contains "$(gateway_resolve 1)" addrs && ! contains "$(gateway_resolve 1; gateway_resolve 2)" "$1"; }
 named() { contains "$(gateway_resolve 1)" "$1" && contains "$(gateway_resolve 2)" "$1"; }  # ADDRESS
 counter() { field "$(gateway_admin counters)" "$1"; }
-fault() { gateway_admin "searcher?name=$1&fault=$2&count=${3:-0}&ms=${4:-0}"; }  # NAME FAULT COUNT MS
-kill_gateway() { kill -9 "${GATEWAY_PIDS[$1]}"; wait "${GATEWAY_PIDS[$1]}" 2>/dev/null; }  # N
 running_requests() {  # returns while about 30 requests at 200/s wait for paused searchers, so that each daemon holds some
   fault "" pause 0 250
   sleep 0.15
--- a/src/testsuite/summarize.awk
+++ b/src/testsuite/summarize.awk
@@ -1,36 +1,87 @@
-# Turns the rows of measure.sh into a Markdown table with the median and the range of each figure:
+# Checks the rows of an experiment and summarizes them:
 #
-#   awk -f src/testsuite/summarize.awk results.csv
+#   awk -f src/testsuite/summarize.awk rows.csv                                   Markdown table, median and range
+#   awk -v deployment=quiroga -v figure=p99_ms -f src/testsuite/summarize.awk rows.csv    input of plot.gnuplot
+#
+# Rows are "deployment,scenario,variant,pair" and one number for each figure that the first line names. Anything else is
+# refused with the line. The input of plot.gnuplot has one line for each scenario: its name, then median, least and
+# greatest value of the naive variant and of the policy; "?" stands for a variant without rows.
 
-function sorted_insert(list, count, value, i) {
-  for (i = count; i > 0 && list[i] > value; --i) list[i + 1] = list[i]
-  list[i + 1] = value
+function refuse(message) {
+  print FILENAME ":" NR ": " message > "/dev/stderr"
+  failed = 1
+  exit 1
 }
 
-function summary(key, column, list, count, i, median) {
+function summarize(key, column, list, count, i, j, value) {
   count = runs[key]
-  delete list
-  for (i = 1; i <= count; ++i) sorted_insert(list, i - 1, values[key, column, i] + 0)
+  for (i = 1; i <= count; ++i) {
+    value = values[key, column, i] + 0
+    for (j = i - 1; j > 0 && list[j] > value; --j) list[j + 1] = list[j]
+    list[j + 1] = value
+  }
+  least = list[1]
+  greatest = list[count]
   median = count % 2 ? list[(count + 1) / 2] : (list[count / 2] + list[count / 2 + 1]) / 2
-  return list[1] == list[count] ? median "" : median " (" list[1] " to " list[count] ")"
+}
+
+function cell(key, column) {
+  summarize(key, column)
+  return least == greatest ? median "" : median " (" least " to " greatest ")"
+}
+
+function plot_fields(key) {
+  if (!(key in runs)) return "? ? ?"
+  summarize(key, figure_column)
+  return median " " least " " greatest
 }
 
 BEGIN { FS = "," }
 
 NR == 1 {
-  for (i = 5; i <= NF; ++i) name[i] = $i
+  if ($1 "," $2 "," $3 "," $4 != "deployment,scenario,variant,pair" || NF < 5) {
+    refuse("the first line is not deployment,scenario,variant,pair and the names of figures")
+  }
+  for (i = 5; i <= NF; ++i) {
+    if ($i !~ /^[a-z][a-z0-9_]*$/) refuse("\"" $i "\" does not name a figure")
+    name[i] = $i
+    if ($i == figure) figure_column = i
+  }
+  if (figure != "" && !figure_column) refuse("no column \"" figure "\"")
   columns = NF
   next
 }
 
 {
+  if (NF != columns) refuse(NF " fields in place of " columns)
+  for (i = 1; i <= 3; ++i) if ($i !~ /^[a-z][a-z0-9_-]*$/) refuse("\"" $i "\" is not a name")
+  if ($4 !~ /^[1-9][0-9]*$/) refuse("\"" $4 "\" is not the number of a pair")
+  for (i = 5; i <= NF; ++i) {
+    if ($i !~ /^-?[0-9]+(\.[0-9]+)?(e[-+]?[0-9]+)?$/) refuse("\"" $i "\" is not a number for " name[i])
+  }
+  if (($1, $2, $3, $4) in seen) refuse("a second row of " $1 " " $2 " " $3 " " $4)
+  seen[$1, $2, $3, $4] = 1
   key = $1 "," $2 "," $3
   if (!(key in runs)) order[++keys] = key
   ++runs[key]
   for (i = 5; i <= NF; ++i) values[key, i, runs[key]] = $i
+  if ($1 == deployment && !(($1, $2) in scenario_seen)) {
+    scenario_seen[$1, $2] = 1
+    scenarios[++scenario_count] = $2
+  }
 }
 
 END {
+  if (failed) exit 1
+  if (!keys) refuse("no rows")
+  if (figure != "") {
+    if (!scenario_count) refuse("no rows of deployment \"" deployment "\"")
+    for (k = 1; k <= scenario_count; ++k) {
+      key = deployment "," scenarios[k] ","
+      print scenarios[k], plot_fields(key "naive"), plot_fields(key "policy")
+    }
+    exit 0
+  }
   printf "| deployment | scenario | variant | runs |"
   for (i = 5; i <= columns; ++i) printf " %s |", name[i]
   printf "\n|"
@@ -39,7 +90,7 @@
   for (k = 1; k <= keys; ++k) {
     split(order[k], part, ",")
     printf "| %s | %s | %s | %d |", part[1], part[2], part[3], runs[order[k]]
-    for (i = 5; i <= columns; ++i) printf " %s |", summary(order[k], i)
+    for (i = 5; i <= columns; ++i) printf " %s |", cell(order[k], i)
     print ""
   }
 }
--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Builds pimentomoor and runs every test: the unit and property tests under AddressSanitizer and UBSan, then the failure
-# tests of the query tier and the gateway with real processes on the release build. Closes with the counts:
+# tests of the query tier and the gateway with real processes on the release build, and those of the experiment tool.
+# Closes with the counts:
 # ./test.sh [sanitizer build folder]
 set -euo pipefail
 cd "$(dirname "$0")"
@@ -19,5 +20,7 @@
 process="$(grep -oE '^[0-9]+ passed' "$results" | cut -d' ' -f1)"
 CLUSTER_BUILD=build src/testsuite/gateway_test.sh 2>&1 | tee "$results"
 gateway="$(grep -oE '^[0-9]+ passed' "$results" | cut -d' ' -f1)"
+src/testsuite/experiment_test.sh 2>&1 | tee "$results"
+experiment="$(grep -oE '^[0-9]+ passed' "$results" | cut -d' ' -f1)"
 echo
-echo "$((unit + process + gateway)) passed, 0 failed"
+echo "$((unit + process + gateway + experiment)) passed, 0 failed"
