Check that runs continue, and describe the experiment tool

Cause: a continued run could lose or mix rows without notice. The commit of the rows is checked before the row that was cut short is dropped, so a refusal changes nothing. Ruled out: merging rows of two commits with a column for the commit, since a median over both means nothing.

--- a/src/testsuite/experiment.sh
+++ b/src/testsuite/experiment.sh
@@ -4,8 +4,8 @@
 #   src/testsuite/experiment.sh list
 #   src/testsuite/experiment.sh run NAME [-n PAIRS] [-o FOLDER]   default folder: build/experiments/NAME
 #   src/testsuite/experiment.sh table CSV                         Markdown table, median and range
-#   src/testsuite/experiment.sh plot CSV [FOLDER [FIGURE...]]     one SVG for each deployment and figure; default: beside
-#                                                                 the CSV, all figures
+#   src/testsuite/experiment.sh plot CSV [FOLDER [FIGURE...]]     one SVG for each deployment and figure; without FOLDER
+#                                                                 beside the CSV, without FIGURE all
 #
 # `run` writes rows.csv, manifest.txt, table.md and the plots. The variants alternate; the number of a pair is its seed.
 # A run that was cut short keeps its rows, and the same command continues it. Exit code 2: wrong usage or a wrong file.
@@ -107,11 +107,7 @@
 }
 
 write_manifest() {  # FOLDER PAIRS: appends one entry for each start
-  local before
-  before="$(sed -n 's/^commit: //p' "$1/manifest.txt" 2>/dev/null | tail -1)"
-  if [ -s "$1/rows.csv" ] && [ "$before" != "$(commit)" ]; then
-    refuse "the rows in $1 are of commit ${before:-unknown}, this is $(commit); give another folder with -o"
-  fi
+  local key
   {
     echo "experiment: $NAME"
     echo "commit: $(commit)"
@@ -128,7 +124,10 @@
   local key value line="$1,$2,$3,$4"
   for key in $FIGURES; do
     value="$(field "$5" "$key")"
-    [ -n "$value" ] || fail "no $key in the report of $1 $2 $3, pair $4; the rows before it are kept"
+    if [ -z "$value" ]; then
+      tail -n 3 "$WORK_FOLDER"/*.log >&2
+      fail "no $key in the report of $1 $2 $3, pair $4; the rows before it are kept"
+    fi
     line="$line,$value"
   done
   echo "$line" >>"$ROWS"
@@ -153,16 +152,18 @@
 }
 
 run_experiment() {  # FOLDER PAIRS
-  local pair deployment variant
+  local pair deployment variant program header before
   mkdir -p "$1" || fail "cannot create folder \"$1\""
   ROWS="$1/rows.csv"
   START=query_start
   [ "${DEFINITION[path]}" = gateway ] && START=gateway_start_variant
-  local header
   header="deployment,scenario,variant,pair,${FIGURES// /,}"
   if [ -s "$ROWS" ]; then
-    [ -z "$(tail -c 1 "$ROWS")" ] || sed -i '$d' "$ROWS"  # a row that was cut short
     [ "$(head -1 "$ROWS")" = "$header" ] || refuse "$ROWS has other columns than experiment $NAME"
+    before="$(sed -n 's/^commit: //p' "$1/manifest.txt" 2>/dev/null | tail -1)"
+    [ "$before" = "$(commit)" ] ||
+      refuse "the rows in $1 are of commit ${before:-unknown}, this is $(commit); give another folder with -o"
+    [ -z "$(tail -c 1 "$ROWS")" ] || sed -i '$d' "$ROWS"  # a row that was cut short
     [ "$(wc -l <"$ROWS")" = 1 ] || table "$ROWS" >/dev/null
   fi
   command -v gnuplot >/dev/null || fail "gnuplot is missing; install the packages of packages.txt"
--- a/src/testsuite/experiment_test.sh
+++ b/src/testsuite/experiment_test.sh
@@ -60,7 +60,8 @@
   check "rows without a head are refused" refused_rows "bad.csv:1: the first line" "$good"
   check "an empty file is refused" refused_rows "no rows" "$HEAD"
   check "a short row is refused" refused_rows "bad.csv:3: 5 fields in place of 6" "$HEAD" "$good" town,calm,naive,2,9.5
-  check "a missing number is refused" refused_rows 'bad.csv:2: "" is not a number for p99_ms' "$HEAD" town,calm,naive,1,,0
+  check "a missing number is refused" \
+    refused_rows 'bad.csv:2: "" is not a number for p99_ms' "$HEAD" town,calm,naive,1,,0
   check "text in place of a number is refused" refused_rows '"nan" is not a number' "$HEAD" town,calm,naive,1,nan,0
   check "the same run twice is refused" refused_rows "bad.csv:3: a second row of town calm" "$HEAD" "$good" "$good"
   check "pair 0 is refused" refused_rows '"0" is not the number of a pair' "$HEAD" town,calm,naive,0,9.5,0
@@ -75,7 +76,7 @@
   sed 's/^scenarios: calm/scenarios: calmly/' "$definition" >"$FOLDER/scenario.experiment"
   sed 's/^pairs:/pair:/' "$definition" >"$FOLDER/key.experiment"
   sed '/^rate:/d' "$definition" >"$FOLDER/rate.experiment"
-  check "the definitions in the repository are valid" src/testsuite/experiment.sh list
+  check "the definitions in the repository are valid" contains "$(src/testsuite/experiment.sh list)" "^gateway "
   check "a wrong definition is refused by list" refused "key.experiment:6: " list
   check "an unknown experiment is refused" refused 'no experiment "other"' run other
   check "a path as a name is refused" refused 'no experiment "../good"' run ../good
@@ -91,7 +92,37 @@
   check "the refused folder keeps its rows" cmp "$FOLDER/rows.csv" "$FOLDER/other/rows.csv"
 }
 
-for test in test_table test_plot test_bad_rows test_bad_arguments; do
+# Guards against rows that are measured again, lost, or mixed with those of another commit when a run is continued.
+# All rows are there, so no deployment starts.
+test_continue() {
+  local run="$FOLDER/run" variant program commit changed
+  mkdir -p "$run" "$FOLDER/build"
+  for program in pimentomoor pimentomoor_gateway_standin; do
+    printf '#!/bin/sh\nexit 1\n' >"$FOLDER/build/$program"
+    chmod +x "$FOLDER/build/$program"
+  done
+  sed 's/^scenarios: .*/scenarios: calm/; s/^pairs: .*/pairs: 1/' src/testsuite/experiments/gateway.experiment \
+    >"$FOLDER/short.experiment"
+  printf '%s%s\n' deployment,scenario,variant,pair,answered,within_objective,coverage,p50_ms,p99_ms,p99_9_ms \
+    ,extra_sends_per_request,connections_per_request,wrong >"$run/rows.csv"
+  for variant in naive policy; do echo "gateway,calm,$variant,1,1,1,1,5,9,12,0,0.1,0" >>"$run/rows.csv"; done
+  cp "$run/rows.csv" "$FOLDER/kept.csv"
+  printf 'gateway,calm,naive,2,1,1' >>"$run/rows.csv"
+  cp "$run/rows.csv" "$FOLDER/cut.csv"
+  check "rows of an unknown commit are not continued" refused "are of commit unknown" run short -o "$run"
+  check "refused rows stay as they are" cmp "$run/rows.csv" "$FOLDER/cut.csv"
+  commit="$(git rev-parse --short HEAD 2>/dev/null || echo unknown)"
+  changed="$(git status --porcelain -- src platform CMakeLists.txt 2>/dev/null)"
+  echo "commit: $commit${changed:+-changed}" >"$run/manifest.txt"
+  CLUSTER_BUILD="$FOLDER/build" experiment run short -o "$run"
+  check "a run with all rows ends with success" same "$?$(cat "$FOLDER/err")" 0
+  check "the whole rows are kept, the cut one is dropped" cmp "$run/rows.csv" "$FOLDER/kept.csv"
+  check "table and plots are written" test -s "$run/table.md" -a -s "$run/gateway-p99_ms.svg"
+  check "the manifest names command and seeds" contains "$(tr '\n' ' ' <"$run/manifest.txt")" \
+    "command: src/testsuite/experiment.sh run short -n 1 seeds: 1 to 1"
+}
+
+for test in test_table test_plot test_bad_rows test_bad_arguments test_continue; do
   echo "$test ($SECONDS s)"
   "$test"
 done
--- a/src/testsuite/plot.gnuplot
+++ b/src/testsuite/plot.gnuplot
@@ -1,6 +1,6 @@
 # Draws one figure as SVG: for each scenario the median of the naive variant and of the policy, with the range.
 #
-#   gnuplot -e "input='FILE'; output_file='plot.svg'; heading='quiroga, p99_ms'; greatest=97.6" src/testsuite/plot.gnuplot
+#   gnuplot -e "input='FILE'; output_file='plot.svg'; heading='p99_ms'; greatest=97.6" src/testsuite/plot.gnuplot
 #
 # FILE has the format of summarize.awk with a figure; `greatest` is its greatest value.
 set terminal svg size 760,360 font "sans-serif,12" background rgb "white"
