--- a/src/testsuite/gateway_load.h
+++ b/src/testsuite/gateway_load.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <iostream>
 #include <optional>
 #include <random>
@@ -42,7 +43,8 @@
     }
     std::sort(latencies_.begin(), latencies_.end());
     const auto quantile = [this](std::size_t permille) {
-      return std::to_string(latencies_.empty() ? 0 : latencies_[latencies_.size() * permille / 1'000]);
+      const double value = latencies_.empty() ? 0 : latencies_[latencies_.size() * permille / 1'000];
+      return std::to_string(std::round(value * 100) / 100);
     };
     const auto within = std::upper_bound(latencies_.begin(), latencies_.end(), kObjectiveMs) - latencies_.begin();
     return report + "\"p50_ms\":" + quantile(500) + ",\"p99_ms\":" + quantile(990) +
@@ -51,7 +53,7 @@
            ",\"coverage\":" + PerRequest(parts_received_);
   }
   [[nodiscard]] std::string PerRequest(double total) const {
-    return std::to_string(sent_ == 0 ? 0 : total / static_cast<double>(sent_));
+    return std::to_string(sent_ == 0 ? 0 : std::round(total / static_cast<double>(sent_) * 1e5) / 1e5);
   }
 
  private:
