--- a/src/testsuite/experiment.sh
+++ b/src/testsuite/experiment.sh
@@ -175,6 +175,8 @@
   done
   write_manifest "$1" "$2"
   [ -s "$ROWS" ] || echo "$header" >"$ROWS"
+  EXPERIMENT_SECONDS="${DEFINITION[seconds]}"
+  EXPERIMENT_RATE="${DEFINITION[rate]}"
   WORK_FOLDER="$(mktemp -d)"
   trap 'cluster_stop 2>/dev/null; rm -rf "$WORK_FOLDER"' EXIT
   for pair in $(seq 1 "$2"); do
