--- a/src/testsuite/gateway_cluster.sh
+++ b/src/testsuite/gateway_cluster.sh
@@ -2,38 +2,44 @@
 # cluster.sh, whose cluster_stop ends the processes.
 #
 # Store 127.0.0.1:21000, its admin 21001, searchers from 21002. Daemon N has the address 127.0.0.N, since daemons find
-# each other on one port: callers 21100, readiness 21110, directory 21120, peers 21130. GATEWAY_PORT moves all of them,
-# for a run beside another one.
+# each other on one port: callers 21100, readiness 21110, directory 21120, peers 21130. GATEWAY_PORT moves all ports, so
+# that two runs on one machine do not meet. GATEWAY_SETTINGS is added to the settings of each daemon.
 
 GATEWAY_PORT="${GATEWAY_PORT:-21000}"
-GATEWAY_CALLER_PORT=$((GATEWAY_PORT + 100))
-GATEWAY_READY_PORT=$((GATEWAY_PORT + 110))
-GATEWAY_DIRECTORY_PORT=$((GATEWAY_PORT + 120))
-GATEWAY_PEER_PORT=$((GATEWAY_PORT + 130))
-
+GATEWAY_SETTINGS=""
 GATEWAY_PIDS=()
 
-gateway_admin() { curl -sS -m 2 "http://127.0.0.1:$((GATEWAY_PORT + 1))/$1"; }  # CALL: see gateway_standin_main.cpp
-gateway_resolve() { curl -s -m 1 "http://127.0.0.$1:$GATEWAY_DIRECTORY_PORT/api/resolve?name=search&region=r&zone=z"; }  # N
+gateway_address() { echo "127.0.0.$1:$((GATEWAY_PORT + $2))"; }  # N OFFSET
+gateway_admin() { curl -sS -m 2 "http://$(gateway_address 1 1)/$1"; }  # CALL: see gateway_standin_main.cpp
+fault() {  # NAME_PREFIX FAULT [COUNT] [MS] [EVERY]: of searchers
+  gateway_admin "searcher?name=$1&fault=$2&count=${3:-0}&ms=${4:-0}&every=${5:-1}"
+}
+gateway_resolve() {  # N
+  curl -s -m 1 "http://$(gateway_address "$1" 120)/api/resolve?name=search&region=r&zone=z"
+}
 gateway_get() {  # N PATH ARGUMENTS...
-  curl -s -m 2 -H "Host: search.test" -H "X-Request-Id: curl-$RANDOM" "${@:3}" "http://127.0.0.$1:$GATEWAY_CALLER_PORT/$2"
+  curl -s -m 2 -H "Host: search.test" -H "X-Request-Id: curl-$RANDOM" "${@:3}" \
+    "http://$(gateway_address "$1" 100)/$2"
 }
 gateway_answers() { [ "$(gateway_get "$1" "$2" -o /dev/null -w '%{http_code}')" = 200 ]; }  # N PATH
 gateway_load() {  # ARGUMENTS...
-  "$CLUSTER_BUILD/pimentomoor_gateway_standin" load --port "$GATEWAY_PORT" --directory 127.0.0.1:$GATEWAY_DIRECTORY_PORT --directory 127.0.0.2:$GATEWAY_DIRECTORY_PORT \
-    --directory 127.0.0.3:$GATEWAY_DIRECTORY_PORT "$@"
+  "$CLUSTER_BUILD/pimentomoor_gateway_standin" load --port "$GATEWAY_PORT" --directory "$(gateway_address 1 120)" \
+    --directory "$(gateway_address 2 120)" --directory "$(gateway_address 3 120)" "$@"
 }
 
+kill_gateway() { kill -9 "${GATEWAY_PIDS[$1]}"; wait "${GATEWAY_PIDS[$1]}" 2>/dev/null; }  # N
+
 gateway_start_daemon() {  # FOLDER N
   cat >"$1/gateway$2.yaml" <<SETTINGS
 host: gateway-$2
 failure_domain: zone-$([ "$2" = 2 ] && echo b || echo a)
-caller_address: 127.0.0.$2:$GATEWAY_CALLER_PORT
-ready_address: 127.0.0.$2:$GATEWAY_READY_PORT
-directory_address: 127.0.0.$2:$GATEWAY_DIRECTORY_PORT
-peer_address: 127.0.0.$2:$GATEWAY_PEER_PORT
-seed_peers: ["127.0.0.1:$GATEWAY_PEER_PORT", "127.0.0.2:$GATEWAY_PEER_PORT", "127.0.0.3:$GATEWAY_PEER_PORT"]
+caller_address: $(gateway_address "$2" 100)
+ready_address: $(gateway_address "$2" 110)
+directory_address: $(gateway_address "$2" 120)
+peer_address: $(gateway_address "$2" 130)
+seed_peers: ["$(gateway_address 1 130)", "$(gateway_address 2 130)", "$(gateway_address 3 130)"]
 store_address: 127.0.0.1:$GATEWAY_PORT
+$GATEWAY_SETTINGS
 SETTINGS
   "$CLUSTER_BUILD/pimentomoor" gateway --settings "$1/gateway$2.yaml" 2>>"$1/gateway$2.log" &
   GATEWAY_PIDS[$2]=$!
--- a/src/testsuite/gateway_load.h
+++ b/src/testsuite/gateway_load.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <iostream>
 #include <optional>
 #include <random>
@@ -19,13 +20,17 @@
   std::vector<std::string> routes;  // sent in turn
   std::string prefix;               // of the request ids
   double rate = 100;
+  unsigned seed = 0;       // of the choice of daemons
   Duration duration{};     // from the first answer of a directory
   Duration leave_after{};  // when a caller closes the connection of an unanswered request; 0 waits for the answer
 };
 
 class GatewayLoad {
  public:
-  GatewayLoad(EventLoop& loop, GatewayLoadOptions options) : loop_(loop), options_(std::move(options)) { Resolve(); }
+  GatewayLoad(EventLoop& loop, GatewayLoadOptions options)
+      : loop_(loop), options_(std::move(options)), random_(options_.seed) {
+    Resolve();
+  }
 
   [[nodiscard]] bool done() const { return sent_ > 0 && loop_.Now() >= ends_at_ && busy_.empty(); }
   [[nodiscard]] bool wrong() const { return counts_.contains("wrong"); }
@@ -38,13 +43,22 @@
           "\"" + std::string(outcome) + "\":" + std::to_string(counts_.count(outcome) ? counts_[outcome] : 0) + ",";
     }
     std::sort(latencies_.begin(), latencies_.end());
-    const auto quantile = [this](std::size_t percent) {
-      return std::to_string(latencies_.empty() ? 0 : latencies_[latencies_.size() * percent / 100]);
+    const auto quantile = [this](std::size_t permille) {
+      const double value = latencies_.empty() ? 0 : latencies_[latencies_.size() * permille / 1'000];
+      return std::to_string(std::round(value * 100) / 100);
     };
-    return report + "\"p50_ms\":" + quantile(50) + ",\"p99_ms\":" + quantile(99);
+    const auto within = std::upper_bound(latencies_.begin(), latencies_.end(), kObjectiveMs) - latencies_.begin();
+    return report + "\"p50_ms\":" + quantile(500) + ",\"p99_ms\":" + quantile(990) +
+           ",\"p99_9_ms\":" + quantile(999) + ",\"answered\":" + PerRequest(static_cast<double>(latencies_.size())) +
+           ",\"within_objective\":" + PerRequest(static_cast<double>(within)) +
+           ",\"coverage\":" + PerRequest(parts_received_);
+  }
+  [[nodiscard]] std::string PerRequest(double total) const {
+    return std::to_string(sent_ == 0 ? 0 : std::round(total / static_cast<double>(sent_) * 1e5) / 1e5);
   }
 
  private:
+  static constexpr double kObjectiveMs = 200;  // of all routes, see FormatGatewayTable()
   static constexpr Duration kTimeToLive = std::chrono::seconds(2);
   static constexpr Duration kResolveTimeout = std::chrono::milliseconds(300);
   static constexpr Duration kRequestTimeout = std::chrono::milliseconds(2'000);  // twice the routes' timeout
@@ -122,10 +136,10 @@
     }
     connection->route = route;
     connection->id = options_.prefix + "-" + std::to_string(sent_);
-    connection->since = loop_.Now();
+    connection->since = next_at_;  // the intended start, so that a delayed sender doesn't hide latency
     const bool leaves = options_.leave_after > Duration::zero();
     if (leaves) {
-      connection->id += MarkLeaving(connection->since + options_.leave_after);
+      connection->id += MarkLeaving(loop_.Now() + options_.leave_after);
     }
     connection->request = (route == "order" ? "POST /" : "GET /") + route + " HTTP/1.1\r\nHost: " + kGatewayHost +
                           "\r\n" + platform_names::kRequestIdField + ": " + connection->id + "\r\n" +
@@ -174,6 +188,8 @@
                                     answer.instance == std::to_string(kGatewayShards - services.size()) &&
                                     answer.body == MergeRecordsNaive(records, kGatewayTopRecords)
                               : services.size() == 1 && answer.body == MakeSingleAnswer(connection.id);
+    parts_received_ +=
+        right ? static_cast<double>(services.size()) / static_cast<double>(gather ? kGatewayShards : 1) : 0;
     return !right ? "wrong" : !gather || services.size() == kGatewayShards ? "whole" : "partial";
   }
 
@@ -209,7 +225,8 @@
   std::vector<std::shared_ptr<Connection>> idle_;
   std::map<std::string, unsigned> counts_;
   std::vector<double> latencies_;
-  std::mt19937 random_{std::random_device()()};
+  double parts_received_ = 0;  // shares of each request's parts
+  std::mt19937 random_;
 };
 
 }  // namespace pimentomoor
--- a/src/testsuite/gateway_searchers.h
+++ b/src/testsuite/gateway_searchers.h
@@ -47,6 +47,7 @@
   kExtra,  // sends the answer to an earlier request ahead of this one
   kGone,   // closes its listener and connections; its entry stays
   kDrain,  // announces that it takes no new requests
+  kSlow,   // takes another time for each request
 };
 
 class GatewaySearcher {
@@ -59,11 +60,15 @@
     Announce();
   }
 
-  /// `count` limits the answers that kFail, kReset, kLose and kExtra spoil; `pause` is for kPause. kNone makes the
-  /// searcher healthy again.
-  void SetFault(SearcherFault fault, unsigned count, Duration pause) {
+  /// `count` limits the answers that kFail, kReset, kLose and kExtra spoil, of which they leave all but each
+  /// `every`th whole; `time` is the length of kPause and the work time of kSlow. kNone makes the searcher healthy
+  /// again.
+  void SetFault(SearcherFault fault, unsigned count, unsigned every, Duration time) {
+    const Duration pause = fault == SearcherFault::kPause ? time : Duration{};
     fault_ = fault;
     fault_left_ = count;
+    fault_every_ = std::max(1U, every);
+    work_ = fault == SearcherFault::kSlow ? time : kWork;
     paused_until_ = loop_.Now() + pause;
     loop_.CallAfter(pause, [this] { Pump(); });
     if (fault == SearcherFault::kGone) {
@@ -89,8 +94,10 @@
 
   [[nodiscard]] std::string failure_domain() const { return "zone-" + replica_; }
   [[nodiscard]] std::string id() const { return service_ + "-" + replica_; }
-  [[nodiscard]] const std::map<std::string, unsigned>& runs() const { return runs_; }  // by request id
-  [[nodiscard]] unsigned spoilt() const { return spoilt_; }                            // answers, by a fault
+  [[nodiscard]] const std::string& service() const { return service_; }
+  [[nodiscard]] const std::map<std::string, unsigned>& runs() const { return runs_; }          // by request id
+  [[nodiscard]] const std::map<std::string, unsigned>& arrivals() const { return arrivals_; }  // by request id
+  [[nodiscard]] unsigned spoilt() const { return spoilt_; }                                    // answers, by a fault
   [[nodiscard]] const ArrivalChecks& checks() const { return checks_; }
 
  private:
@@ -123,6 +130,7 @@
 
   void Receive(const Exchange& exchange) {
     const RequestMessage& request = exchange->request;
+    ++arrivals_[request.request_id];
     const std::string expected = Field(platform_names::kExpectedInstanceField, id());
     if (("\n" + request.forward_fields).find("\n" + expected) == std::string::npos) {
       exchange->Respond({.status = 421,
@@ -145,7 +153,7 @@
       waiting_.pop_front();
       ++running_;
       ++runs_[exchange->request.request_id];
-      loop_.CallAfter(kWork, [this, exchange] {
+      loop_.CallAfter(work_, [this, exchange] {
         --running_;
         Respond(exchange);
         Pump();
@@ -155,8 +163,9 @@
 
   void Respond(const Exchange& exchange) {
     const std::string& request_id = exchange->request.request_id;
-    const SearcherFault fault = fault_left_ > 0 ? fault_ : SearcherFault::kNone;
-    if (fault_left_ > 0) {
+    const bool spoil = fault_left_ > 0 && ++answers_ % fault_every_ == 0;
+    const SearcherFault fault = spoil ? fault_ : SearcherFault::kNone;
+    if (spoil) {
       --fault_left_;
       ++spoilt_;
     }
@@ -192,9 +201,10 @@
   SearcherFault fault_ = SearcherFault::kNone;
   TimePoint paused_until_{};
   TimePoint draining_since_ = TimePoint::max();
-  unsigned running_ = 0, sequence_ = 0, fault_left_ = 0, spoilt_ = 0;
+  Duration work_ = kWork;
+  unsigned running_ = 0, sequence_ = 0, answers_ = 0, fault_left_ = 0, fault_every_ = 1, spoilt_ = 0;
   ArrivalChecks checks_;
-  std::map<std::string, unsigned> runs_;
+  std::map<std::string, unsigned> runs_, arrivals_;
 };
 
 }  // namespace pimentomoor
