Tell member lists through relays of each failure domain

Cause: the first daemon of each failure domain heard every daemon of the cell, at most 256 members were kept, replies were not bounded, and daemons whose seeds are gone never met again.

Change: the first two daemons of each domain are its relays. Others send heartbeats only to them, and relays to one of each other domain (to all while there are at most eight). A relay tells other domains what it heard itself, and passes on to its own what another domain's relay told of that domain. Replies fit into one packet and continue by version. Interval and timeout grow with the domain to 1.2 s and 2.4 s. The sender's state is left out once known, unanswered heartbeats are repeated, changes are pushed within a bound of bytes, a load alone is told more rarely. Addresses that were alive before are asked. Alive() and the named entries are cached.

Ruled out: lists that relays of one domain repeat to each other (a dead daemon could stay alive).

--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -57,7 +57,7 @@
   void AnnounceSoon();
   void MeasureLoad();
   /// Addresses that the directory names.
-  [[nodiscard]] std::vector<std::string> Entries() const;
+  [[nodiscard]] const std::vector<std::string>& Entries();
 
   void Describe(proto::GatewayHeartbeat& heartbeat) const;
   void RespondRecords(CallerExchange& exchange, const RecordFeed& feed, std::uint64_t after);
@@ -108,6 +108,15 @@
   std::unique_ptr<CallerServer> directory_server_;
   std::unique_ptr<CallerServer> peer_server_;
   std::unique_ptr<GatewayPeers> peers_;
+  struct EntriesKey {
+    std::uint64_t alive_version = 0;
+    std::uint32_t load_parts_per_s = 0;
+    bool ready = false;
+
+    friend bool operator==(const EntriesKey&, const EntriesKey&) = default;
+  };
+  EntriesKey entries_key_;                       // what entries_ was selected from
+  std::vector<std::string> entries_;             // callers' addresses that the directory names
   std::unique_ptr<KeptHttpClient> peer_client_;  // null while nothing is fetched from a peer
   TimerId tick_timer_ = 0;
   TimerId stop_timer_ = 0;
--- a/src/include/pimentomoor/gateway_peers.h
+++ b/src/include/pimentomoor/gateway_peers.h
@@ -10,56 +10,54 @@
 #include "gateway.pb.h"
 #include "pimentomoor/event_loop.h"
 #include "pimentomoor/io_socket.h"
-#include "pimentomoor/member_list.h"
+#include "pimentomoor/member_exchange.h"
 #include "pimentomoor/metrics.h"
 
 namespace pimentomoor {
 
-struct GatewayPeersOptions {
-  std::vector<std::string> seed_peers;  // peer addresses that are asked first; may be stale
-  Duration interval = std::chrono::milliseconds(400);
-  Duration join_interval = std::chrono::milliseconds(100);  // until the first daemon has answered
-  Duration join_time = std::chrono::seconds(2);             // after which `interval` holds in any case
-  Duration seed_interval = std::chrono::seconds(3);         // between heartbeats to seeds that are no targets
-
-  friend bool operator==(const GatewayPeersOptions&, const GatewayPeersOptions&) = default;
-};
-
 class GatewayPeers final : public IoHandler {
  public:
-  /// Fills the sender and the content revisions of a heartbeat.
+  /// Fills the sender, the content revisions and all crash reports of a heartbeat.
   using Describe = std::function<void(proto::GatewayHeartbeat&)>;
+  /// Gets each accepted heartbeat, with a complete sender.
   using Listener = std::function<void(const proto::GatewayHeartbeat&)>;
 
   /// Binds the peer address that `describe` names. Throws std::system_error that names it.
-  GatewayPeers(EventLoop& loop, Metrics& metrics, GatewayPeersOptions options, Describe describe, Listener listener);
+  GatewayPeers(EventLoop& loop, Metrics& metrics, const MemberExchangeOptions& options, Describe describe,
+               Listener listener);
   ~GatewayPeers() override;
 
   /// Tells the daemons that listen to this one, and its own targets, that its state has changed.
   void Announce();
 
   /// Seeds can change while the daemon runs.
-  void SetSeeds(std::vector<std::string> seeds) { options_.seed_peers = std::move(seeds); }
+  void SetSeeds(std::vector<std::string> seeds) { exchange_.SetSeeds(std::move(seeds)); }
 
-  [[nodiscard]] std::vector<proto::GatewayMember> Alive() const { return members_.Alive(loop_.Now()); }
-  [[nodiscard]] std::size_t CountForBudgets() { return members_.CountForBudgets(loop_.Now()); }
+  /// Valid until the next call.
+  [[nodiscard]] const std::vector<proto::GatewayMember>& Alive() const {
+    return exchange_.members().Alive(loop_.Now());
+  }
+  /// Changes whenever the result of Alive changes.
+  [[nodiscard]] std::uint64_t AliveVersion() const { return exchange_.members().AliveVersion(loop_.Now()); }
+  [[nodiscard]] bool IsRelay() const { return exchange_.members().IsRelay(loop_.Now()); }
+  [[nodiscard]] Duration Interval() const { return exchange_.members().Interval(loop_.Now()); }
+  [[nodiscard]] std::size_t CountForBudgets() { return exchange_.members().CountForBudgets(loop_.Now()); }
 
  private:
   void OnReadable() override;
   void OnWritable() override {}
-  void Receive(const proto::GatewayHeartbeat& heartbeat);
+  void Receive(proto::GatewayHeartbeat heartbeat);
   void Tick();
-  void Send(const std::string& address, proto::GatewayHeartbeat heartbeat);
+  [[nodiscard]] proto::GatewayHeartbeat Described() const;
+  void Send(const std::vector<MemberDatagram>& datagrams);
 
   EventLoop& loop_;
   Metrics& metrics_;
-  GatewayPeersOptions options_;
   Describe describe_;
   Listener listener_;
-  MemberList members_;
+  MemberExchange exchange_;
+  Duration tick_;
   std::unique_ptr<IoSocket> socket_;
-  TimePoint started_;
-  TimePoint seeds_asked_{};
   TimerId timer_ = 0;
 };
 
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -67,7 +67,7 @@
   directory_server_ = serve(settings_.directory_address, kMaxSmallBody, &Gateway::HandleDirectory);
   peer_server_ = serve(settings_.peer_address, kMaxSmallBody, &Gateway::HandlePeer);
   peers_ = std::make_unique<GatewayPeers>(
-      loop_, metrics_, GatewayPeersOptions{.seed_peers = settings_.seed_peers},
+      loop_, metrics_, MemberExchangeOptions{.seeds = settings_.seed_peers},
       [this](proto::GatewayHeartbeat& heartbeat) { Describe(heartbeat); },
       [this](const proto::GatewayHeartbeat& heartbeat) { OnHeartbeat(heartbeat); });
 }
@@ -148,7 +148,14 @@
   load_measured_ = now;
 }
 
-std::vector<std::string> Gateway::Entries() const {
+const std::vector<std::string>& Gateway::Entries() {
+  // Callers ask often, and the candidates of a large cell take milliseconds to rank.
+  const EntriesKey key{
+      .alive_version = peers_->AliveVersion(), .load_parts_per_s = QuantizeLoad(parts_per_s_), .ready = ready()};
+  if (key == entries_key_) {
+    return entries_;
+  }
+  entries_key_ = key;
   std::vector<EntryCandidate> candidates;
   if (ready()) {
     candidates.push_back({.address = settings_.caller_address,
@@ -164,7 +171,8 @@
                             .load_parts_per_s = member.load_parts_per_s()});
     }
   }
-  return SelectEntries(candidates, settings_.entries);
+  entries_ = SelectEntries(candidates, settings_.entries);
+  return entries_;
 }
 
 void Gateway::AnnounceSoon() {
@@ -295,7 +303,7 @@
     exchange->Respond({.status = 404});
     return;
   }
-  const std::vector<std::string> addresses = Entries();
+  const std::vector<std::string>& addresses = Entries();
   if (addresses.empty()) {
     exchange->Respond({.status = 503, .fields = "Retry-After: 0.2\r\n"});
     return;
--- a/src/libgateway/gateway_peers.cpp
+++ b/src/libgateway/gateway_peers.cpp
@@ -5,7 +5,6 @@
 #include <unistd.h>
 
 #include <array>
-#include <set>
 #include <system_error>
 
 #include "../libnet/socket_address.h"
@@ -27,71 +26,49 @@
   return fd;
 }
 
-proto::GatewayMember DescribeSelf(const GatewayPeers::Describe& describe) {
-  proto::GatewayHeartbeat heartbeat;
-  describe(heartbeat);
-  return heartbeat.sender();
-}
-
 }  // namespace
 
-GatewayPeers::GatewayPeers(EventLoop& loop, Metrics& metrics, GatewayPeersOptions options, Describe describe,
+GatewayPeers::GatewayPeers(EventLoop& loop, Metrics& metrics, const MemberExchangeOptions& options, Describe describe,
                            Listener listener)
     : loop_(loop),
       metrics_(metrics),
-      options_(std::move(options)),
       describe_(std::move(describe)),
       listener_(std::move(listener)),
-      members_(DescribeSelf(describe_)),
-      socket_(std::make_unique<IoSocket>(loop, OpenDatagramSocket(members_.self().peer_address()), *this)),
-      started_(loop.Now()) {
+      exchange_(Described(), options, loop.Now()),
+      tick_(options.join_interval),
+      socket_(
+          std::make_unique<IoSocket>(loop, OpenDatagramSocket(exchange_.members().self().peer_address()), *this)) {
   socket_->StartReading();
   timer_ = loop_.CallAfter(Duration::zero(), [this] { Tick(); });
 }
 
 GatewayPeers::~GatewayPeers() { loop_.Cancel(timer_); }
 
+proto::GatewayHeartbeat GatewayPeers::Described() const {
+  proto::GatewayHeartbeat heartbeat;
+  describe_(heartbeat);
+  return heartbeat;
+}
+
 void GatewayPeers::Tick() {
-  const TimePoint now = loop_.Now();
-  members_.UpdateSelf(DescribeSelf(describe_));
-  const auto found = members_.Targets(now);
-  std::set<std::string> targets(found.begin(), found.end());
-  // Seeds are asked on, more rarely, so that two halves of a cell that lost each other meet again.
-  if (targets.empty() || now - seeds_asked_ >= options_.seed_interval) {
-    seeds_asked_ = now;
-    targets.insert(options_.seed_peers.begin(), options_.seed_peers.end());
-  }
-  targets.erase(members_.self().peer_address());
-  for (const auto& address : targets) {
-    Send(address, members_.MakeHeartbeat(address));
-  }
-  const bool joining = found.empty() && now - started_ < options_.join_time;
-  timer_ = loop_.CallAfter(joining ? options_.join_interval : options_.interval, [this] { Tick(); });
+  exchange_.Describe(Described(), loop_.Now());
+  Send(exchange_.Tick(loop_.Now()));
+  timer_ = loop_.CallAfter(tick_, [this] { Tick(); });
 }
 
 void GatewayPeers::Announce() {
-  const TimePoint now = loop_.Now();
-  members_.UpdateSelf(DescribeSelf(describe_));
-  const auto listeners = members_.Listeners(now);
-  std::set<std::string> receivers(listeners.begin(), listeners.end());
-  for (const auto& address : members_.Targets(now)) {
-    receivers.insert(address);
-  }
-  for (const auto& address : receivers) {
-    // Sent as a reply without changes of the list: it tells this daemon's state and asks for no answer.
-    proto::GatewayHeartbeat news;
-    news.set_reply(true);
-    Send(address, std::move(news));
-  }
+  exchange_.Describe(Described(), loop_.Now());
+  Send(exchange_.Announce(loop_.Now()));
 }
 
-void GatewayPeers::Send(const std::string& address, proto::GatewayHeartbeat heartbeat) {
-  describe_(heartbeat);
-  const std::string bytes = heartbeat.SerializeAsString();
-  const sockaddr_in target = ParseSocketAddress(address);
-  metrics_.Count("pimentomoor_gateway_heartbeat_bytes_total", bytes.size());
-  sendto(socket_->fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&target),
-         sizeof(target));
+void GatewayPeers::Send(const std::vector<MemberDatagram>& datagrams) {
+  for (const auto& datagram : datagrams) {
+    const std::string bytes = datagram.heartbeat.SerializeAsString();
+    const sockaddr_in target = ParseSocketAddress(datagram.address);
+    metrics_.Count("pimentomoor_gateway_heartbeat_bytes_total", bytes.size());
+    sendto(socket_->fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&target),
+           sizeof(target));
+  }
 }
 
 void GatewayPeers::OnReadable() {
@@ -103,23 +80,26 @@
     }
     proto::GatewayHeartbeat heartbeat;
     if (heartbeat.ParseFromArray(buffer.data(), static_cast<int>(received))) {
-      Receive(heartbeat);
+      Receive(std::move(heartbeat));
     } else {
       metrics_.Count("pimentomoor_gateway_heartbeats_malformed_total");
     }
   }
 }
 
-void GatewayPeers::Receive(const proto::GatewayHeartbeat& heartbeat) {
-  const TimePoint now = loop_.Now();
-  if (!members_.Receive(heartbeat, now)) {
+void GatewayPeers::Receive(proto::GatewayHeartbeat heartbeat) {
+  bool taken = false;
+  exchange_.Describe(Described(), loop_.Now());
+  Send(exchange_.Receive(heartbeat, loop_.Now(), taken));
+  if (!taken) {
     metrics_.Count("pimentomoor_gateway_heartbeats_refused_total");
     return;
   }
-  if (!heartbeat.reply()) {
-    Send(heartbeat.sender().peer_address(), members_.MakeReply(heartbeat, now));
+  const proto::GatewayMember* sender = exchange_.members().FindHeard(heartbeat.sender().peer_address());
+  if (sender != nullptr && sender->incarnation() == heartbeat.sender().incarnation()) {
+    *heartbeat.mutable_sender() = *sender;
+    listener_(heartbeat);
   }
-  listener_(heartbeat);
 }
 
 }  // namespace pimentomoor
--- a/src/libgateway/gateway_status.cpp
+++ b/src/libgateway/gateway_status.cpp
@@ -102,14 +102,15 @@
 
 std::string Gateway::RenderStatus() const {
   const TimePoint now = loop_.Now();
-  const auto members = peers_->Alive();
+  const auto& members = peers_->Alive();
   std::ostringstream out;
   out << "{\"host\":" << JsonQuote(settings_.host) << ",\"failure_domain\":" << JsonQuote(settings_.failure_domain)
       << ",\"ready\":" << Flag(ready()) << ",\"stopping\":" << Flag(stopped_ != nullptr)
       << ",\"running_ms\":" << AgeMs(started_, now)
       << ",\n\"routing_version\":" << (table_ == nullptr ? 0 : table_->version())
       << ",\"routing_age_ms\":" << AgeMs(table_since_, now) << ",\n\"daemons_alive\":" << 1 + members.size()
-      << ",\"daemons_counted\":" << upstreams_.daemons() << ",\"members\":[";
+      << ",\"daemons_counted\":" << upstreams_.daemons() << ",\"relay\":" << Flag(peers_->IsRelay())
+      << ",\"heartbeat_ms\":" << peers_->Interval() / std::chrono::milliseconds(1) << ",\"members\":[";
   for (std::size_t i = 0; i < std::min(members.size(), kMaxMembersShown); ++i) {
     const auto& member = members[i];
     out << (i == 0 ? "" : ",") << "\n  {\"host\":" << JsonQuote(member.host())
--- a/src/testsuite/bench_gateway.cpp
+++ b/src/testsuite/bench_gateway.cpp
@@ -1,9 +1,12 @@
 // Cost of the gateway for each part of a query and for a forwarded request. The searchers of this measurement answer
 // fixed bytes without reading the request, so their share of the processor time is two system calls for each part.
+#include <algorithm>
+#include <ctime>
 #include <memory>
 
 #include "bench_parts.h"
 #include "fixed_searcher.h"
+#include "member_simulation.h"
 #include "pimentomoor/platform_codec.h"
 #include "pimentomoor/request_run.h"
 
@@ -105,8 +108,97 @@
   return held;
 }
 
+struct CellSize {
+  std::size_t daemons;
+  std::size_t domains;
+  std::size_t full_ranks = 100;  // of each domain; in the largest cell all relays and some others, which are measured
+};
+constexpr CellSize kCellSizes[] = {{6, 3}, {62, 3}, {300, 5}, {2'700, 21, 8}};
+constexpr int kCellSeconds = 10;     // measured, after the lists are complete
+constexpr int kRestartInterval = 5;  // seconds between ends without notice; the target has one every 17 s
+
+double ThreadCpuMicroseconds() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
+}
+
+void AddCellFigure(std::vector<BenchFigure>& figures, const std::string& name, std::size_t daemons,
+                   std::vector<double> values) {
+  const auto size = static_cast<double>(daemons);
+  for (const auto& [which, value] :
+       {std::pair("busiest", *std::ranges::max_element(values)), std::pair("median", Median(values))}) {
+    const std::string title = name + ", " + which + " daemon";
+    auto figure = std::ranges::find(figures, title, &BenchFigure::name);
+    if (figure == figures.end()) {
+      figures.push_back({.part = "members", .name = title, .sizes = "daemons"});
+      figure = std::prev(figures.end());
+    }
+    figure->points.push_back({.size = size, .value = value});
+  }
+}
+
+// What the membership costs a daemon. Loads differ in each second, and daemons that are no relays end without notice
+// and start again 1 s later.
+void MeasureCell(const CellSize& size, std::vector<BenchFigure>& figures) {
+  MemberSimulation cell({.daemons = size.daemons, .domains = size.domains, .full_ranks = size.full_ranks});
+  for (std::size_t i = 0; i < size.daemons; ++i) {
+    cell.Start(i);
+  }
+  // A cell of 2,700 that starts at once needs this long until its lists are complete.
+  cell.RunFor(std::chrono::seconds(size.daemons > 1'000 ? 30 : 15));
+  std::vector<double> sent(size.daemons);
+  std::vector<double> received(size.daemons);
+  std::vector<double> cpu(size.daemons);
+  cell.around = [&](std::size_t index, const std::function<void()>& act) {
+    const double begin = ThreadCpuMicroseconds();
+    act();
+    cpu[index] += ThreadCpuMicroseconds() - begin;
+  };
+  for (int second = 0; second < kCellSeconds; ++second) {
+    for (std::size_t i = 0; i < size.daemons; ++i) {
+      cell.daemons[i].load = 50U << ((i + static_cast<std::size_t>(second)) % 4);
+      cell.daemons[i].bytes_sent = cell.daemons[i].bytes_received = 0;
+    }
+    const std::size_t restarted = size.daemons - 1 - static_cast<std::size_t>(second);
+    const bool restarts = size.daemons > 6 && second % kRestartInterval == 0;
+    if (restarts) {
+      cell.End(restarted);
+    }
+    cell.RunFor(std::chrono::seconds(1));
+    for (std::size_t i = 0; i < size.daemons; ++i) {
+      sent[i] += static_cast<double>(cell.daemons[i].bytes_sent);
+      received[i] += static_cast<double>(cell.daemons[i].bytes_received);
+    }
+    if (restarts) {
+      cell.Start(restarted);
+    }
+  }
+  std::vector<double> bytes;
+  std::vector<double> cpu_per_s;
+  std::vector<double> heap;
+  for (std::size_t i = 0; i < size.daemons; ++i) {
+    if (cell.IsFull(i) && cell.daemons[i].exchange) {
+      bytes.push_back(std::max(sent[i], received[i]) / kCellSeconds);
+      cpu_per_s.push_back(cpu[i] / kCellSeconds);
+      const double before = HeapBytes();
+      const MemberExchange copy = *cell.daemons[i].exchange;
+      heap.push_back(HeapBytes() - before);
+    }
+  }
+  AddCellFigure(figures, "bytes per second, worse direction, with heads of IP and UDP", size.daemons, bytes);
+  AddCellFigure(figures, "CPU per second, without the kernel, us", size.daemons, cpu_per_s);
+  AddCellFigure(figures, "heap of the member lists, bytes", size.daemons, heap);
+}
+
 }  // namespace
 
+void MeasureMembers(BenchReport& report) {
+  for (const auto& size : kCellSizes) {
+    MeasureCell(size, report.figures);
+  }
+}
+
 void MeasureGateway(BenchReport& report) {
   const std::vector<std::size_t> sizes = {20, 50, 90, 700};
   report.figures.push_back({.part = "gateway",
--- a/src/testsuite/bench_main.cpp
+++ b/src/testsuite/bench_main.cpp
@@ -27,6 +27,7 @@
   return pimentomoor::RunProgram("pimentomoor_bench", [&] {
     TCLAP::CmdLine line("Measures CPU time, bytes and heap per unit of work, in one process over loopback.", ' ',
                         "0.1.0");
+    const TCLAP::SwitchArg members("", "members", "Only measure the member lists of gateways.", line);
     const TCLAP::SwitchArg json("", "json", "Print the report as JSON.", line);
     TCLAP::ValueArg<std::string> profile("", "profile", "Only run a fixed load on one part, for a profiler.", false,
                                          "", "entry|entry-merged|owner", line);
@@ -36,12 +37,15 @@
       return RunProfile(profile.getValue());
     }
     pimentomoor::BenchReport report;
-    pimentomoor::MeasureEntry(report);
-    pimentomoor::MeasureOwner(report);
-    pimentomoor::MeasureTransport(report);
-    pimentomoor::MeasureControl(report);
-    pimentomoor::MeasureOnce(report);
-    pimentomoor::MeasureGateway(report);
+    if (!members.getValue()) {
+      pimentomoor::MeasureEntry(report);
+      pimentomoor::MeasureOwner(report);
+      pimentomoor::MeasureTransport(report);
+      pimentomoor::MeasureControl(report);
+      pimentomoor::MeasureOnce(report);
+      pimentomoor::MeasureGateway(report);
+    }
+    pimentomoor::MeasureMembers(report);
     std::cout << (json.getValue() ? pimentomoor::ReportJson(report) : pimentomoor::ReportMarkdown(report));
     return 0;
   });
--- a/src/testsuite/bench_parts.h
+++ b/src/testsuite/bench_parts.h
@@ -39,6 +39,7 @@
 void MeasureControl(BenchReport& report);
 void MeasureOnce(BenchReport& report);
 void MeasureGateway(BenchReport& report);
+void MeasureMembers(BenchReport& report);
 
 /// A fixed load for a profiler: this many queries over 700 shards, or bursts of 700 sub-queries, without a report.
 constexpr int kProfileRounds = 20;
--- /dev/null
+++ b/src/testsuite/member_simulation.cpp
@@ -0,0 +1,180 @@
+// Implementation of the simulated cell of gateway daemons.
+#include "member_simulation.h"
+
+#include <algorithm>
+
+namespace pimentomoor {
+
+namespace {
+
+constexpr std::size_t kPacketBytes = 28;  // heads of IP and UDP
+constexpr Duration kStep = std::chrono::milliseconds(2);
+constexpr Duration kLatency = std::chrono::microseconds(1'400);
+constexpr Duration kTick = std::chrono::milliseconds(100);
+
+}  // namespace
+
+MemberSimulation::MemberSimulation(MemberSimulationOptions options)
+    : daemons(options.daemons), options_(options), random_(options.random_seed) {
+  for (std::size_t i = 0; i < daemons.size(); ++i) {
+    const std::size_t domain = i % options_.domains;
+    const std::size_t rank = i / options_.domains;
+    addresses_.push_back("10." + std::to_string(100 + domain) + "." + std::to_string(100 + rank / 100) + "." +
+                         std::to_string(100 + rank % 100) + ":21130");
+    indexes_[addresses_[i]] = i;
+  }
+}
+
+bool MemberSimulation::IsFull(std::size_t index) const { return index / options_.domains < options_.full_ranks; }
+
+proto::GatewayHeartbeat MemberSimulation::Describe(std::size_t index) const {
+  const Daemon& daemon = daemons[index];
+  proto::GatewayHeartbeat heartbeat;
+  auto* self = heartbeat.mutable_sender();
+  self->set_host("gateway-host-" + std::to_string(1'000 + index));
+  self->set_incarnation(daemon.incarnation);
+  self->set_failure_domain("zone-" + std::to_string(10 + index % options_.domains));
+  self->set_peer_address(addresses_[index]);
+  self->set_caller_address(addresses_[index].substr(0, addresses_[index].find(':')) + ":8080");
+  self->set_ready(daemon.ready);
+  self->set_store_answers(true);
+  self->set_capacity_millicores(250);
+  self->set_load_parts_per_s(daemon.load);
+  for (int kind = 0; kind < 3; ++kind) {
+    heartbeat.add_content_revisions(1'000'000 + daemon.revision);
+  }
+  if (daemon.crash != 0) {
+    auto* report = heartbeat.add_crashes();
+    report->set_fingerprint(daemon.crash);
+    report->set_crashes(1);
+    report->set_reporter(7);
+  }
+  return heartbeat;
+}
+
+void MemberSimulation::Act(std::size_t index, const std::function<std::vector<MemberDatagram>()>& action) {
+  Daemon& daemon = daemons[index];
+  std::vector<std::pair<std::string, std::string>> sent;
+  const auto act = [&] {
+    daemon.exchange->Describe(Describe(index), now);
+    for (const auto& datagram : action()) {
+      sent.emplace_back(datagram.address, datagram.heartbeat.SerializeAsString());
+    }
+  };
+  around ? around(index, act) : act();
+  for (auto& [address, bytes] : sent) {
+    daemon.bytes_sent += bytes.size() + kPacketBytes;
+    daemon.largest = std::max<std::uint64_t>(daemon.largest, bytes.size());
+    const auto to = indexes_.find(address);
+    if (to == indexes_.end() || Chance(options_.loss_percent) || (cut && cut(index, to->second))) {
+      continue;
+    }
+    for (int copies = Chance(options_.repeat_percent) ? 2 : 1; copies > 0; --copies) {
+      const Duration late = Chance(options_.late_percent) ? std::chrono::milliseconds(random_() % 100) : Duration();
+      network_.emplace(now + kLatency + late, InFlight{index, to->second, bytes});
+    }
+  }
+}
+
+void MemberSimulation::Deliver(const InFlight& datagram) {
+  Daemon& daemon = daemons[datagram.to];
+  if (!daemon.exchange) {
+    return;
+  }
+  if (daemon.paused) {  // the kernel keeps it
+    network_.emplace(now + kTick, datagram);
+    return;
+  }
+  daemon.bytes_received += datagram.bytes.size() + kPacketBytes;
+  Act(datagram.to, [&] {
+    proto::GatewayHeartbeat heartbeat;
+    heartbeat.ParseFromString(datagram.bytes);
+    if (!IsFull(datagram.to)) {
+      const std::string domain = daemon.exchange->members().self().failure_domain();
+      auto* changes = heartbeat.mutable_changes();
+      changes->erase(std::remove_if(changes->begin(), changes->end(),
+                                    [&](const auto& change) {
+                                      return change.alive() && change.member().failure_domain() != domain;
+                                    }),
+                     changes->end());
+      // Reading the rest of a list page by page, only to drop it, would take most of the run.
+      if (heartbeat.more() && changes->empty() && daemons[datagram.from].exchange) {
+        heartbeat.set_more(false);
+        heartbeat.set_list_version(daemons[datagram.from].exchange->members().ListVersion(now));
+      }
+    }
+    bool taken = false;
+    auto answer = daemon.exchange->Receive(heartbeat, now, taken);
+    if (taken && heartbeat.crashes_size() > 0) {
+      daemon.crash = heartbeat.crashes(0).fingerprint();
+    }
+    if (taken && heartbeat.content_revisions_size() > 0) {
+      daemon.revision = std::max(daemon.revision, heartbeat.content_revisions(0) - 1'000'000);
+    }
+    return answer;
+  });
+}
+
+void MemberSimulation::Start(std::size_t index) {
+  Daemon& daemon = daemons[index];
+  daemon = {.incarnation = ++incarnations_ * 0x9e3779b97f4a7c15,
+            .changed = now,
+            .next_tick = now + std::chrono::milliseconds(random_() % 20)};
+  MemberExchangeOptions options;
+  for (std::size_t i = 0; i < options_.seeds; ++i) {
+    options.seeds.push_back(addresses_[i]);
+  }
+  daemon.exchange.emplace(Describe(index), options, now);
+}
+
+void MemberSimulation::End(std::size_t index) {
+  daemons[index].exchange.reset();
+  daemons[index].changed = now;
+}
+
+void MemberSimulation::Announce(std::size_t index) {
+  Act(index, [&] { return daemons[index].exchange->Announce(now); });
+}
+
+void MemberSimulation::RunFor(Duration time) {
+  for (const TimePoint end = now + time; now < end; now += kStep) {
+    for (std::size_t i = 0; i < daemons.size(); ++i) {
+      Daemon& daemon = daemons[i];
+      if (daemon.exchange && !daemon.paused && now >= daemon.next_tick) {
+        daemon.next_tick = now + kTick;
+        Act(i, [&] { return daemon.exchange->Tick(now); });
+      }
+    }
+    while (!network_.empty() && network_.begin()->first <= now) {
+      const auto datagram = network_.extract(network_.begin());
+      Deliver(datagram.mapped());
+    }
+  }
+}
+
+std::size_t MemberSimulation::Missing(std::size_t index) {
+  std::map<std::string_view, const proto::GatewayMember*> listed;
+  for (const auto& member : daemons[index].exchange->members().Alive(now)) {
+    listed[member.peer_address()] = &member;
+  }
+  std::size_t missing = 0;
+  for (std::size_t i = 0; i < daemons.size(); ++i) {
+    if (i != index && daemons[i].exchange) {
+      const auto found = listed.find(addresses_[i]);
+      missing += found == listed.end() || found->second->incarnation() != daemons[i].incarnation ||
+                 found->second->ready() != daemons[i].ready;
+    }
+  }
+  return missing;
+}
+
+std::size_t MemberSimulation::Dead(std::size_t index) {
+  std::size_t dead = 0;
+  for (const auto& member : daemons[index].exchange->members().Alive(now)) {
+    const auto found = indexes_.find(member.peer_address());
+    dead += found == indexes_.end() || !daemons[found->second].exchange;
+  }
+  return dead;
+}
+
+}  // namespace pimentomoor
