--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -69,6 +69,8 @@
   [[nodiscard]] bool StoreAnswers() const;
   void FetchFromPeer(const std::string& address, RecordFeed& feed);
   void Tick();
+  /// Applies the list of live daemons to budgets, connections and the source of changes.
+  void ApplyMembers();
   void WaitForRequests(TimePoint stop_at);
 
   RecordFeed& feed(RecordKind kind) { return *feeds_[static_cast<std::size_t>(kind)]; }
@@ -95,6 +97,7 @@
   };
   std::array<PeerNews, kRecordKinds> news_;
   TimePoint started_{};
+  TimePoint members_applied_{};
   TimePoint load_measured_{};
   std::uint64_t parts_at_measure_ = 0;
   double parts_per_s_ = 0;                   // smoothed
@@ -105,7 +108,8 @@
   std::unique_ptr<CallerServer> directory_server_;
   std::unique_ptr<CallerServer> peer_server_;
   std::unique_ptr<GatewayPeers> peers_;
-  std::unique_ptr<KeptHttpClient> peer_client_;  // null while nothing is fetched from a peer
+  std::unique_ptr<KeptHttpClient> peer_client_;  // to the peer of the last fetch; null before the first one
+  bool fetching_ = false;                        // from a peer
   TimerId tick_timer_ = 0;
   TimerId stop_timer_ = 0;
   std::function<void()> stopped_;  // set exactly while stopping
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(25);
+constexpr Duration kMembersInterval = std::chrono::milliseconds(100);  // a quarter of that of heartbeats
 // An entry that expired while the store was away is back within two seconds of its return.
 constexpr Duration kRemovalDelay = std::chrono::milliseconds(2'200);
 constexpr Duration kRoutingWatchInterval = std::chrono::milliseconds(120);
@@ -50,7 +51,7 @@
             .settings = settings_.run,
             .tracer = &tracer_} {
   upstreams_.context().on_crash = [this](const UpstreamRequest& request) {
-    crashes_.Add(request.fingerprint, request.request_id, loop_.Now());
+    crashes_.Add(request.fingerprint, loop_.Now());
     AnnounceSoon();
   };
   BuildFeeds();
@@ -113,17 +114,27 @@
 bool Gateway::ready() const { return table_ != nullptr && feed(RecordKind::kUpstreams).loaded() && !stopped_; }
 
 void Gateway::Tick() {
-  // Searchers' connections are divided among the daemons that callers are told to use.
-  std::vector<std::string> others = Entries();
-  std::erase(others, settings_.caller_address);
-  upstreams_.SetDaemons(peers_->CountForBudgets(), settings_.caller_address, std::move(others));
+  if (loop_.Now() - members_applied_ >= kMembersInterval) {
+    members_applied_ = loop_.Now();
+    ApplyMembers();
+  }
   MeasureLoad();
   upstreams_.Sweep();
-  ChooseSource();
   CatchUp();
   tick_timer_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
 }
 
+void Gateway::ApplyMembers() {
+  // Searchers' connections are divided among the daemons that callers are told to use.
+  std::vector<std::string> others = Entries();
+  std::erase(others, settings_.caller_address);
+  const bool has_seeds = std::any_of(settings_.seed_peers.begin(), settings_.seed_peers.end(),
+                                     [this](const std::string& seed) { return seed != settings_.peer_address; });
+  const std::size_t counted = peers_->CountForBudgets();
+  upstreams_.SetDaemons(counted == 0 && !has_seeds ? 1 : counted, settings_.caller_address, std::move(others));
+  ChooseSource();
+}
+
 void Gateway::MeasureLoad() {
   const TimePoint now = loop_.Now();
   const double seconds = std::chrono::duration<double>(now - load_measured_).count();
@@ -329,6 +340,12 @@
   for (const auto& name : delta.names) {
     message.add_names(name);
   }
+  for (const auto& gone : delta.removed) {
+    auto* copy = message.add_removed();
+    copy->set_name(gone.name);
+    copy->set_revision(gone.revision);
+  }
+  message.set_lists_names(delta.lists_names);
   exchange.Respond({.status = feed.loaded() ? 200 : 503, .body = message.SerializeAsString()});
 }
 
@@ -400,14 +417,17 @@
 }
 
 void Gateway::FetchFromPeer(const std::string& address, RecordFeed& feed) {
-  if (peer_client_ != nullptr) {
+  if (fetching_) {
     return;  // one fetch at a time; the next tick starts another
   }
-  peer_client_ = std::make_unique<KeptHttpClient>(loop_, codec_.field_names(), address);
+  fetching_ = true;
+  if (peer_client_ == nullptr || peer_client_->address() != address) {
+    peer_client_ = std::make_unique<KeptHttpClient>(loop_, codec_.field_names(), address);
+  }
   const std::string target =
-      RecordsPath(feed.kind()) + "?after=" + std::to_string(feed.loaded() ? feed.content_revision() : 0);
+      RecordsPath(feed.kind()) + "?after=" + std::to_string(feed.loaded() ? feed.known_revision() : 0);
   peer_client_->Get(target, kRelayTimeout, [this, &feed](const std::optional<ResponseMessage>& response) {
-    peer_client_.reset();
+    fetching_ = false;
     proto::GatewayRecords message;
     if (!response || response->status != 200 || !message.ParseFromString(response->body)) {
       metrics_.Count("pimentomoor_gateway_fetch_failures_total");
@@ -419,6 +439,10 @@
       delta.changed.push_back({.name = record.name(), .revision = record.revision(), .payload = record.payload()});
     }
     delta.names.assign(message.names().begin(), message.names().end());
+    for (const auto& gone : message.removed()) {
+      delta.removed.push_back({.name = gone.name(), .revision = gone.revision()});
+    }
+    delta.lists_names = message.lists_names();
     feed.Adopt(delta);
   });
 }
