--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -43,6 +43,7 @@
 std::vector<std::string> ReadAddresses(YamlMapReader& reader, std::string_view source, std::string_view key,
                                        const std::vector<YamlNode>& items) {
   std::vector<std::string> addresses;
+  addresses.reserve(items.size());
   for (const auto& item : items) {
     addresses.push_back(ReadAddress(item, source, reader.PathOf(key)));
   }
