Find the kept fuzz inputs that name nothing of the platform

Cause: run.sh fell back to the folder that it had just found missing, so that the targets gateway_settings and heartbeat failed at the replay; their inputs are in src/fuzz/corpus.

Change: the fallback names src/fuzz/corpus.

--- a/src/fuzz/run.sh
+++ b/src/fuzz/run.sh
@@ -16,7 +16,7 @@
 for target in $targets; do
   findings="build-fuzz/findings/$target"
   corpus="platform/fuzz_corpus/$target" # inputs that spell names of the platform
-  [ -d "$corpus" ] || corpus="$corpus"
+  [ -d "$corpus" ] || corpus="src/fuzz/corpus/$target"
   found="$(mktemp -d)" # libFuzzer adds new inputs to the first folder; the kept corpus changes only by -merge=1
   mkdir -p "$findings"
   run=(timeout "$((seconds + 120))" "build-fuzz/fuzz_$target" -seed=1 -timeout=5 -rss_limit_mb=1024 -max_len=4096
