--- a/src/testsuite/cluster.sh
+++ b/src/testsuite/cluster.sh
@@ -5,17 +5,20 @@
 #   cluster_stop                                          ends all processes in CLUSTER_PIDS
 #
 # Ports: platform 20100, control of its faults 20101, control and counters of the searchers 20102. Daemon N, counted
-# from 1, has HTTP on 20000 + N and its address for peers on 20110 + N.
+# from 1, has HTTP on 20000 + N and its address for peers on 20110 + N. CLUSTER_PORT replaces 20000 and moves all these
+# ports with it, and the searchers then begin 1000 ports above it, so that several deployments can run at a time.
 
 CLUSTER_BUILD="${CLUSTER_BUILD:-build}"
 CLUSTER_DAEMONS="${CLUSTER_DAEMONS:-6}"
-CLUSTER_PLATFORM="127.0.0.1:20100"
-CLUSTER_CONTROL="127.0.0.1:20101"
-CLUSTER_ADMIN="127.0.0.1:20102"
+CLUSTER_BASE_PORT="${CLUSTER_PORT:-20000}"
+CLUSTER_PLATFORM="127.0.0.1:$((CLUSTER_BASE_PORT + 100))"
+CLUSTER_CONTROL="127.0.0.1:$((CLUSTER_BASE_PORT + 101))"
+CLUSTER_ADMIN="127.0.0.1:$((CLUSTER_BASE_PORT + 102))"
 CLUSTER_PIDS=()
 
-cluster_daemon_http() { echo "127.0.0.1:$((20000 + $1))"; }  # N: prints the HTTP address of a daemon
-cluster_daemon_peer() { echo "127.0.0.1:$((20110 + $1))"; }  # N: prints the address of a daemon for its peers
+cluster_daemon_http() { echo "127.0.0.1:$((CLUSTER_BASE_PORT + $1))"; }  # N: prints the HTTP address of a daemon
+# N: prints the address of a daemon for its peers
+cluster_daemon_peer() { echo "127.0.0.1:$((CLUSTER_BASE_PORT + 110 + $1))"; }
 
 cluster_create_object() {  # KEY FILE: creates an object on the platform, unless it exists
   curl -sS -o /dev/null -X PUT -H 'If-None-Match: *' --data-binary "@$2" \
@@ -112,10 +115,15 @@
   CLUSTER_PEER_DELAY_US="${CLUSTER_PEER_DELAY_US:-$(sed -n 's/^one_way_ms: *//p' "$file" | awk '{print int($1 * 1000)}')}"
   domains=($(sed -n 's/^failure_domains: *\[\(.*\)\]/\1/p' "$file" | tr ',' ' '))
   mkdir -p "$folder/catalog"
-  "$CLUSTER_BUILD/pimentomoor_standin" --platform 20100 --platform-control 20101 --seconds 1800 2>"$folder/platform.log" &
+  if [ -n "${CLUSTER_PORT:-}" ]; then
+    sed "s/^first_port:.*/first_port: $((CLUSTER_PORT + 1000))/" "$file" >"$folder/deployment.yaml"
+    file="$folder/deployment.yaml"
+  fi
+  "$CLUSTER_BUILD/pimentomoor_standin" --platform "${CLUSTER_PLATFORM#*:}" --platform-control "${CLUSTER_CONTROL#*:}" \
+    --seconds 1800 2>"$folder/platform.log" &
   CLUSTER_PIDS+=($!)
   CLUSTER_PLATFORM_PID=$!
-  "$CLUSTER_BUILD/pimentomoor_standin" --searchers "$file" --admin 20102 --publish "$CLUSTER_PLATFORM" \
+  "$CLUSTER_BUILD/pimentomoor_standin" --searchers "$file" --admin "${CLUSTER_ADMIN#*:}" --publish "$CLUSTER_PLATFORM" \
     --catalog-folder "$folder/catalog" --seconds 1800 2>"$folder/searchers.log" &
   CLUSTER_PIDS+=($!)
   CLUSTER_SEARCHERS_PID=$!
--- a/src/testsuite/command_runner.h
+++ b/src/testsuite/command_runner.h
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -22,9 +23,15 @@
   std::string output;  // standard output and standard error
 };
 
+/// Path of the binary under test, which the build puts beside the test runner.
+inline const std::string& BinaryPath() {
+  static const std::string path = std::filesystem::read_symlink("/proc/self/exe").replace_filename("pimentomoor");
+  return path;
+}
+
 /// Starts the binary with `arguments`. Standard output and standard error go to the file `output_path`.
 inline pid_t StartCommand(std::vector<std::string> arguments, const std::string& output_path) {
-  arguments.insert(arguments.begin(), PIMENTOMOOR_BINARY);
+  arguments.insert(arguments.begin(), BinaryPath());
   std::vector<char*> argv;
   argv.reserve(arguments.size() + 1);
   for (std::string& argument : arguments) {
@@ -36,10 +43,10 @@
   posix_spawn_file_actions_addopen(&actions, 1, output_path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
   pid_t pid = 0;
-  const int error = posix_spawn(&pid, PIMENTOMOOR_BINARY, &actions, nullptr, argv.data(), environ);
+  const int error = posix_spawn(&pid, BinaryPath().c_str(), &actions, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (error != 0) {
-    throw std::runtime_error("cannot start " PIMENTOMOOR_BINARY ": error " + std::to_string(error));
+    throw std::runtime_error("start " + BinaryPath() + ": error " + std::to_string(error));
   }
   return pid;
 }
--- a/src/testsuite/process_test.sh
+++ b/src/testsuite/process_test.sh
@@ -3,8 +3,9 @@
 # need a real process: SIGKILL, SIGSTOP, a platform outage, a graceful stop under load, concurrent operators. The tests
 # are in process_fleet_tests.sh, process_request_tests.sh, process_pair_tests.sh and process_cell_tests.sh.
 #
-#   src/testsuite/process_test.sh [test name ...]     CLUSTER_BUILD names the build folder, default build
+#   src/testsuite/process_test.sh [test name or group ...]     CLUSTER_BUILD names the build folder, default build
 #
+# The groups are fleet, pairs, cells and requests; without a name all of them run.
 # Prints one line for each check and then the counts. Exits with 1 when a check failed.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
@@ -23,8 +24,18 @@
   echo "the deployment did not start" >&2
   exit 1
 fi
+TESTS=""
 # The request tests run last, because they leave a new snapshot and a quarantined request behind.
-for test in ${*:-$FLEET_TESTS $PAIR_TESTS $CELL_TESTS $REQUEST_TESTS}; do
+for name in ${*:-fleet pairs cells requests}; do
+  case "$name" in
+    fleet) TESTS="$TESTS $FLEET_TESTS" ;;
+    pairs) TESTS="$TESTS $PAIR_TESTS" ;;
+    cells) TESTS="$TESTS $CELL_TESTS" ;;
+    requests) TESTS="$TESTS $REQUEST_TESTS" ;;
+    *) TESTS="$TESTS $name" ;;
+  esac
+done
+for test in $TESTS; do
   echo "$test ($SECONDS s)"
   "$test"
 done
--- a/test.sh
+++ b/test.sh
@@ -6,24 +6,39 @@
 #   ./test.sh [folder of the sanitizer build, default build-asan]
 set -euo pipefail
 cd "$(dirname "$0")"
+. src/testsuite/build.sh
 sanitized="${1:-build-asan}"
-# One job for each core. A compile job under the sanitizers takes up to 1 GB, so the machine needs that much per core.
-jobs="$(nproc)"
-cmake -S . -B "$sanitized" -G Ninja -DPIMENTOMOOR_SANITIZE=address,undefined >/dev/null
-cmake --build "$sanitized" -j "$jobs" --target pimentomoor pimentomoor_tests
-cmake -S . -B build -G Ninja >/dev/null
-cmake --build build -j "$jobs"
-results="$(mktemp)"
-trap 'rm -f "$results"' EXIT
-"$sanitized"/pimentomoor_tests 2>&1 | tee "$results"
-unit="$(grep -oE '[0-9]+ ran' "$results" | tail -1 | cut -d' ' -f1)"
-CLUSTER_BUILD=build src/testsuite/process_test.sh 2>&1 | tee "$results"
-process="$(grep -oE '^[0-9]+ passed' "$results" | cut -d' ' -f1)"
-CLUSTER_BUILD=build src/testsuite/gateway_test.sh 2>&1 | tee "$results"
-gateway="$(grep -oE '^[0-9]+ passed' "$results" | cut -d' ' -f1)"
-src/testsuite/experiment_test.sh 2>&1 | tee "$results"
-experiment="$(grep -oE '^[0-9]+ passed' "$results" | cut -d' ' -f1)"
+build_sanitized "$sanitized" pimentomoor pimentomoor_tests
+build_release build
+results="$(mktemp -d)"
+trap 'rm -rf "$results"' EXIT
+failed=0
+
+echo "unit tests"
+src/testsuite/unit_test.sh "$sanitized/pimentomoor_tests" | tee "$results/unit" || failed=1
+
+# Each group has its own processes, folder and ports, so that they run beside each other.
+start_group() {  # NAME COMMAND...
+  (CLUSTER_BUILD=build "${@:2}" >"$results/$1" 2>&1 || touch "$results/$1.failed") &
+}
+echo "process tests"
+start_group fleet env CLUSTER_PORT=22000 src/testsuite/process_test.sh fleet
+start_group pairs-and-cells env CLUSTER_PORT=24000 src/testsuite/process_test.sh pairs cells
+start_group requests env CLUSTER_PORT=26000 src/testsuite/process_test.sh requests
+start_group gateway env GATEWAY_PORT=28000 src/testsuite/gateway_test.sh
+start_group experiment src/testsuite/experiment_test.sh
+wait
+for group in fleet pairs-and-cells requests gateway experiment; do
+  printf '\n== %s\n' "$group"
+  cat "$results/$group"
+  [ ! -e "$results/$group.failed" ] || failed=1
+done
+
+sum() {  # WORD: adds the numbers before this word in the last line of all results
+  tail -qn1 "$results"/* | grep -oE "[0-9]+ $1" | awk '{n += $1} END {print n + 0}'
+}
 echo
 echo "Known red, passed over (KNOWN-RED.txt):"
 grep -v '^[# ]' KNOWN-RED.txt || echo "none"
-echo "$((unit + process + gateway + experiment)) passed, 0 failed"
+echo "$(sum passed) passed, $(sum failed) failed"
+exit "$failed"
