review: case 5, a line break in an entry's name changes the body of a request

Cause: the name of a searcher's entry goes into the head of requests unchecked.

Change: a case under review/; no product code.

--- a/review/cases.cpp
+++ b/review/cases.cpp
@@ -303,6 +303,63 @@
   Finish(record, cut > 0, std::to_string(cut) + " of 3 answers to requests that ran were cut off");
 }
 
+/// Another writer leaves a second entry of a searcher, whose name ends with a line break.
+void RunLineBreakInName(Record& record, const Arguments& arguments) {
+  constexpr double kThinkMs = 40;  // mean pause of a client between two requests
+  Store store("127.0.0.1", arguments.port);
+  store.Put("config", "main", FormatManifest(7, {{.service = "orders"}}));
+  std::vector<std::unique_ptr<Searcher>> searchers;
+  for (int i = 0; i < 2; ++i) {
+    searchers.push_back(std::make_unique<Searcher>(store, record,
+                                                   SearcherOptions{.id = "i-orders-" + std::to_string(i + 1),
+                                                                   .service = "orders",
+                                                                   .zone = i == 0 ? "zone-a" : "zone-b",
+                                                                   .port = arguments.port + 1 + i,
+                                                                   .slots = 4,
+                                                                   .queue = 8,
+                                                                   .work_ms = 50}));
+  }
+  WaitForDaemons(record, arguments, 6'000);
+  std::atomic<bool> stop = false;
+  std::vector<std::thread> clients;
+  for (int client = 0; client < 15; ++client) {
+    clients.emplace_back([&, client] {
+      std::mt19937 random(static_cast<unsigned>(client));
+      std::exponential_distribution<double> think(1.0 / kThinkMs);
+      for (int i = 0; !stop; ++i) {
+        const std::string id = "c" + std::to_string(client) + "-" + std::to_string(i);
+        CallDaemon(record, arguments, client % 3, id, {.path = "/orders/hire", .body = "hire for " + id});
+        SleepMs(think(random));
+      }
+    });
+  }
+  SleepMs(1'000);
+  if (arguments.trouble) {
+    store.Put("servers", "i-orders-1\r\n",
+              R"({"backend":"orders","address":"127.0.0.1:)" + std::to_string(arguments.port + 1) +
+                  R"(","zone":"zone-a","version":"v1","slots":4,"state":"ready","cold-left-ms":0,"seq":1})");
+    record.Line("store acknowledges: another writer's entry, named i-orders-1 with a line break after it");
+  }
+  SleepMs(5'000);
+  stop = true;
+  for (auto& client : clients) {
+    client.join();
+  }
+  unsigned changed = 0;
+  unsigned runs = 0;
+  for (const auto& searcher : searchers) {
+    for (const auto& [id, body] : searcher->Bodies()) {
+      ++runs;
+      if (body != "hire for " + id) {
+        ++changed;
+        record.Line("UNASKED: %s ran %s with another body than the client sent", searcher->id().c_str(), id.c_str());
+      }
+    }
+  }
+  Finish(record, changed > 0,
+         std::to_string(changed) + " of " + std::to_string(runs) + " unsafe requests ran with a changed body");
+}
+
 int PrintFreePort() {
   constexpr int kTries = 200;
   std::srand(static_cast<unsigned>(UnixMs() ^ static_cast<std::uint64_t>(getpid())));
@@ -330,10 +387,9 @@
 
 int Run(int argc, char** argv) {
   const std::map<std::string, void (*)(Record&, const Arguments&)> cases = {
-      {"extra-answers", RunExtraAnswers},
-      {"unreadable-entry", RunUnreadableEntry},
-      {"drain-with-backlog", RunDrainWithBacklog},
-      {"stop-while-answers-are-read", RunStopWhileAnswersAreRead},
+      {"extra-answers", RunExtraAnswers},          {"unreadable-entry", RunUnreadableEntry},
+      {"drain-with-backlog", RunDrainWithBacklog}, {"stop-while-answers-are-read", RunStopWhileAnswersAreRead},
+      {"line-break-in-name", RunLineBreakInName},
   };
   if (argc == 2 && std::string(argv[1]) == "ports") {
     return PrintFreePort();
--- a/review/standin.h
+++ b/review/standin.h
@@ -297,7 +297,7 @@
     auto& objects = objects_[kind];
     const auto known = objects.find(name);
     const std::uint64_t created = known == objects.end() ? revision_ : known->second.first;
-    const std::string json = R"({"meta":{"name":")" + name + R"(","rev":)" + std::to_string(revision_) +
+    const std::string json = R"({"meta":{"name":")" + Escape(name) + R"(","rev":)" + std::to_string(revision_) +
                              R"(,"created-rev":)" + std::to_string(created) +
                              R"(,"finalizers":[],"deleting":false},"spec":)" + (spec == nullptr ? "null" : *spec) +
                              R"(,"status":null})";
@@ -312,6 +312,15 @@
     changed_.notify_all();
   }
 
+  // Escapes the control characters of a JSON string that the cases use.
+  static std::string Escape(const std::string& text) {
+    std::string escaped;
+    for (const char c : text) {
+      escaped += c == '\r' ? "\\r" : c == '\n' ? "\\n" : std::string(1, c);
+    }
+    return escaped;
+  }
+
   static std::string Query(const std::string& target, const std::string& key) {
     for (std::size_t at = target.find('?'); at != std::string::npos; at = target.find('&', at + 1)) {
       if (target.compare(at + 1, key.size() + 1, key + "=") == 0) {
@@ -459,6 +468,11 @@
     const std::lock_guard lock(mutex_);
     return runs_;
   }
+  /// Bodies with which requests ran, by request id.
+  std::map<std::string, std::string> Bodies() {
+    const std::lock_guard lock(mutex_);
+    return bodies_;
+  }
   /// Ids of the requests that arrived later than `ms` after the acknowledgement of its drain.
   std::vector<std::string> ArrivedAfterDrain(double ms) {
     const std::lock_guard lock(mutex_);
@@ -529,6 +543,10 @@
       return "HTTP/1.1 " + std::string(draining_ ? "503 Draining" : "200 OK") + "\r\nX-Instance: " + options_.id +
              "\r\n" + no_body;
     }
+    if (request.Method() != "GET" && request.Method() != "POST") {
+      record_.Line("%s gets no valid request: %s", options_.id.c_str(), request.start_line.c_str());
+      return "HTTP/1.1 400 Bad Request\r\nX-Not-Run: 1\r\n" + identity + no_body;
+    }
     const std::string expected = request.Field("X-Expect-Instance");
     if (!expected.empty() && expected != options_.id) {
       return "HTTP/1.1 421 Misdirected Request\r\n" + identity + no_body;
@@ -550,6 +568,7 @@
     }
     ++running_;
     const unsigned run = ++runs_[request_id];
+    bodies_[request_id] = request.body;
     lock.unlock();
     record_.Line("%s runs %s, time %u", options_.id.c_str(), request_id.c_str(), run);
     SleepMs(options_.work_ms);
@@ -580,6 +599,7 @@
   unsigned running_ = 0;
   unsigned queued_ = 0;
   std::map<std::string, unsigned> runs_;
+  std::map<std::string, std::string> bodies_;
   std::vector<std::pair<double, std::string>> arrivals_;
   double drain_acknowledged_ms_ = 0;
   Listener listener_;
@@ -588,6 +608,7 @@
 struct CallOptions {
   std::string method = "POST";
   std::string path;
+  std::string body = "hire";
   int deadline_ms = 5'000;
   double read_bytes_per_s = 0;
   int segment_bytes = 0;
@@ -609,7 +630,7 @@
   Message answer;
   record.Line("client sends %s to %s", request_id.c_str(), ip.c_str());
   const auto connection = Connection::Open(ip, port, options.segment_bytes, options.receive_bytes);
-  const std::string body = options.method == "POST" ? "hire" : "";
+  const std::string body = options.method == "POST" ? options.body : "";
   if (connection != nullptr &&
       connection->Write(options.method + " " + options.path + " HTTP/1.1\r\nHost: ledger.example\r\nX-Request-Id: " +
                         request_id + "\r\nX-Deadline-Ms: " + std::to_string(options.deadline_ms) +
