Move the harness of the request tests to a header

Cause: tests of other faults of the request path need the same caller, scripted searchers and request path, which stood in an anonymous namespace of request_faults_test.cpp.

Change: src/testsuite/request_harness.h holds them, word for word; the tests keep their assertions. No product code.

--- a/src/libgateway/request_faults_test.cpp
+++ b/src/libgateway/request_faults_test.cpp
@@ -1,15 +1,10 @@
 // Tests of one request whose caller leaves, whose upstreams reset connections, or that no upstream can take, with a
 // caller and upstreams (searchers) on loopback.
 #include <algorithm>
-#include <cstring>
-#include <list>
 
-#include "pimentomoor/caller_server.h"
-#include "pimentomoor/platform_codec.h"
-#include "pimentomoor/request_run.h"
 #include "pimentomoor/upstream_subset.h"
 #include "property.h"
-#include "scripted_searcher.h"
+#include "request_harness.h"
 
 // clang-format off
 #include <CppUTest/TestHarness.h>  // last: it redefines operator new
@@ -26,119 +21,7 @@
 // Bound of a prompt answer: less than each objective, more than a busy machine needs.
 constexpr Duration kPromptAnswerBound = milliseconds(120);
 constexpr const char* kRecord = "0123456789abcdef";
-// With this short window, the retry budget allows retries from 500 ms after the start.
-constexpr RetryBudgetSettings kShortWindowBudget{.window = milliseconds(20)};
 const std::vector<std::string> kOtherDaemonNames{"o1", "o2", "o3", "o4", "o5", "o6", "o7", "o8"};
-constexpr Duration kRetryBudgetOpensAfter = milliseconds(530);
-
-/// A caller that sends one request and stores the bytes that it receives.
-struct Caller final : TcpStreamHandler {
-  Caller(EventLoop& loop, const std::string& address, const std::string& method) : sent_at(loop.Now()) {
-    stream = TcpStream::Connect(loop, address, *this);
-    stream->Write(method + " /q HTTP/1.1\r\nHost: h\r\n" + platform_names::kRequestIdField +
-                  ": 0123456789abcdef\r\nContent-Length: 0\r\n\r\n");
-  }
-  void OnData(std::string_view bytes) override { received.append(bytes); }
-  void OnEnd(StreamEnd /*end*/) override { stream.reset(); }
-  void Leave() { stream.reset(); }
-  [[nodiscard]] bool answered() const { return received.find("\r\n\r\n") != std::string::npos; }
-  [[nodiscard]] int status() const { return answered() ? std::stoi(received.substr(std::strlen("HTTP/1.1 "))) : 0; }
-  [[nodiscard]] bool Contains(const std::string& text) const { return received.find(text) != std::string::npos; }
-
-  const TimePoint sent_at;
-  std::unique_ptr<TcpStream> stream;
-  std::string received;
-};
-
-/// The request path of a gateway, with a routing table of one route.
-struct RequestHarness {
-  RequestHarness() { Sweep(); }
-  ~RequestHarness() { loop.Cancel(sweep_timer); }
-
-  void Sweep() {  // as in Gateway::Tick()
-    upstreams.Sweep();
-    sweep_timer = loop.CallAfter(milliseconds(25), [this] { Sweep(); });
-  }
-
-  ScriptedSearcher& AddSearcher(const std::string& service, SearcherScript script, UpstreamEntry entry = {}) {
-    auto& searcher = searchers.emplace_back(loop, std::move(script));
-    entry.id = entry.id.empty() ? service + "-" + std::to_string(searchers.size()) : entry.id;
-    entry.service = service;
-    entry.address = searcher.address();
-    entry.failure_domain = entry.failure_domain.empty() ? "a" : entry.failure_domain;
-    entry.slots = 3;
-    upstreams.Announce(entry);
-    return searcher;
-  }
-
-  /// Replaces the routing table by one that holds `route` and its services.
-  void SetRoute(RouteSpec route, unsigned max_connections = 30, double cold_requests_per_s = 0) {
-    RoutingTableSpec spec{.version = 1};
-    route.name = "r";
-    route.host = "h";
-    route.prefix = "/";
-    route.max_attempts = 2;
-    route.top_records = 5;
-    for (const auto& target : route.targets) {
-      spec.services.push_back(
-          {.name = target.service, .max_connections = max_connections, .cold_requests_per_s = cold_requests_per_s});
-    }
-    for (const auto& shard : route.shards) {
-      spec.services.push_back(
-          {.name = shard, .max_connections = max_connections, .cold_requests_per_s = cold_requests_per_s});
-    }
-    spec.routes.push_back(std::move(route));
-    upstreams.ApplyServices(spec.services);
-    table = std::make_shared<RoutingTable>(spec);
-  }
-
-  Caller& Call(const std::string& method = "GET") { return callers.emplace_back(loop, server.address(), method); }
-  void Wait(Duration time) {
-    loop.RunUntil([] { return false; }, time);
-  }
-  bool WaitForAnswer(Caller& caller, Duration limit = seconds(3)) {
-    return loop.RunUntil([&] { return caller.answered(); }, limit);
-  }
-  [[nodiscard]] unsigned arrivals() const {
-    unsigned sum = 0;
-    for (const auto& searcher : searchers) {
-      sum += searcher.arrivals();
-    }
-    return sum;
-  }
-
-  SystemClock clock;
-  EventLoop loop{clock};
-  Metrics metrics;
-  std::unique_ptr<PlatformCodec> codec = MakePlatformCodec();
-  UpstreamSet upstreams{{.loop = loop, .metrics = metrics, .names = codec->field_names(), .failure_domain = "a"},
-                        kShortWindowBudget,
-                        {}};
-  CrashReports crashes{1};
-  SharedRequestContext runs{
-      .loop = loop, .metrics = metrics, .names = codec->field_names(), .upstreams = upstreams, .crashes = crashes};
-  std::list<ScriptedSearcher> searchers;
-  std::shared_ptr<RoutingTable> table;
-  CallerServer server{loop, metrics, codec->field_names(), {.address = "127.0.0.1:0"}, [this](const auto& exchange) {
-                        std::make_shared<RequestRun>(runs, exchange, table, table->spec().routes.front())->Start();
-                      }};
-  std::list<Caller> callers;
-  TimerId sweep_timer = 0;
-};
-
-RouteSpec SingleRoute(bool idempotent) {
-  RouteSpec route{.idempotent = idempotent, .timeout = seconds(2), .targets = {{.service = "s"}}};
-  route.objective = milliseconds(300);
-  return route;
-}
-
-RouteSpec GatherRoute(std::size_t shards, double min_shard_share, Duration objective, Duration timeout) {
-  RouteSpec route{.idempotent = true, .timeout = timeout, .objective = objective, .min_shard_share = min_shard_share};
-  for (std::size_t i = 0; i < shards; ++i) {
-    route.shards.push_back("shard-" + std::to_string(i));
-  }
-  return route;
-}
 
 // Whether the caller got a prompt answer that its request has not run, and when to send it again.
 bool IsRefusedPromptly(RequestHarness& harness, Caller& caller) {
