Never send a request twice over one connection to an upstream

Cause: all sends of a client attempt carry the same request id. A full upstream rejects the request, the daemon sends it again over the same connection, and the late copy of the rejection passes for the answer to the second send. The request then runs from the second send while it is sent a third time or refused.

Ruled out: two daemons with the same request (the record names one daemon for each), and connections that end before the answer (there are none).

Change: a connection remembers the requests that it carried and whose callers still wait, and carries none of them again. The next send to that upstream takes another connection; at the limit an idle one is closed for it.

The caller harness sets the number of daemons itself, as the test group did before.

--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -159,6 +159,8 @@
   friend class UpstreamConnection;
   [[nodiscard]] std::size_t ConnectionLimit() const;
   void OpenConnection();
+  /// Whether one more connection may be opened. Closes an idle one for it when the limit is reached.
+  [[nodiscard]] bool MakeRoomForConnection();
   /// Sends queued requests over idle connections and opens more connections while the limit allows.
   void SendWaiting();
   void Finish(const UpstreamExchangePtr& exchange, ExchangeOutcome outcome, ResponseMessage response);
--- a/src/libgateway/request_faults_test.cpp
+++ b/src/libgateway/request_faults_test.cpp
@@ -31,10 +31,7 @@
 
 }  // namespace
 
-TEST_GROUP(RequestFaults) {
-  RequestHarness harness;
-  void setup() override { harness.upstreams.SetDaemons(1, "self", {}); }
-};
+TEST_GROUP(RequestFaults) { RequestHarness harness; };
 
 // Guards against work for a caller that has left, both of a running request and of one that waits for a connection.
 TEST(RequestFaults, CallerThatLeftReachesNoSearcherAndItsWorkEnds) {
--- a/src/libgateway/upstream_connection.cpp
+++ b/src/libgateway/upstream_connection.cpp
@@ -42,9 +42,16 @@
   return stream_ != nullptr;
 }
 
+bool UpstreamConnection::MayCarry(const UpstreamExchange& exchange) const {
+  return std::none_of(carried_requests_.begin(), carried_requests_.end(),
+                      [&](const auto& carried) { return carried.lock() == exchange.request; });
+}
+
 void UpstreamConnection::StartExchange(UpstreamExchangePtr exchange) {
   const TimePoint now = link_.context_.loop.Now();
   running_exchange_ = std::move(exchange);
+  std::erase_if(carried_requests_, [](const auto& carried) { return carried.expired(); });
+  carried_requests_.push_back(running_exchange_->request);
   running_exchange_->sent = true;
   running_exchange_->sent_at = now;
   reader_.emplace(link_.context_.names, link_.context_.response_limits, running_exchange_->request->is_head,
--- a/src/libgateway/upstream_connection.h
+++ b/src/libgateway/upstream_connection.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "pimentomoor/tcp_stream.h"
 #include "pimentomoor/upstream_link.h"
@@ -16,7 +17,11 @@
 
   /// Starts connecting. Returns false when that fails at once.
   bool Open();
-  /// Sends the request of `exchange`. The connection must be idle.
+  /// Whether this connection may carry the exchange: it has not carried the same request before. An upstream may send
+  /// a response a second time, and a copy of the earlier response could not be told from the response to this
+  /// exchange.
+  [[nodiscard]] bool MayCarry(const UpstreamExchange& exchange) const;
+  /// Sends the request of `exchange`. The connection must be idle, and MayCarry() true.
   void StartExchange(UpstreamExchangePtr exchange);
   void Close() { stream_.reset(); }
 
@@ -43,6 +48,8 @@
   TimePoint opened_at_;
   TimePoint reusable_until_ = TimePoint::max();
   unsigned stray_responses_ = 0;  // responses to earlier requests that came during the running one
+  // Requests that this connection has carried and that may be sent again, because their callers still wait.
+  std::vector<std::weak_ptr<const UpstreamRequest>> carried_requests_;
 };
 
 }  // namespace pimentomoor
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -83,18 +83,37 @@
         RemoveConnection(connection);
         continue;
       }
-      const UpstreamExchangePtr next = waiting_.front();
-      waiting_.pop_front();
+      const auto found = std::find_if(waiting_.begin(), waiting_.end(),
+                                      [&](const auto& exchange) { return connection->MayCarry(*exchange); });
+      if (found == waiting_.end()) {
+        continue;
+      }
+      const UpstreamExchangePtr next = *found;
+      waiting_.erase(found);
       unanswered_.push_back(next);
       connection->StartExchange(next);
     }
   }
-  while (waiting_.size() > connecting && connections_.size() < ConnectionLimit() && !retired_) {
+  while (waiting_.size() > connecting && !retired_ && MakeRoomForConnection()) {
     OpenConnection();
     ++connecting;
   }
 }
 
+bool UpstreamLink::MakeRoomForConnection() {
+  if (connections_.size() < ConnectionLimit()) {
+    return true;
+  }
+  // A connection that is idle although requests wait may carry none of them.
+  const auto idle = std::find_if(connections_.begin(), connections_.end(),
+                                 [](const auto& connection) { return connection->idle(); });
+  if (idle == connections_.end()) {
+    return false;
+  }
+  RemoveConnection(idle->get());
+  return true;
+}
+
 void UpstreamLink::OpenConnection() {
   auto connection = std::make_unique<UpstreamConnection>(*this);
   auto* opened = connection.get();
--- a/src/testsuite/request_harness.h
+++ b/src/testsuite/request_harness.h
@@ -17,12 +17,14 @@
 constexpr RetryBudgetSettings kShortWindowBudget{.window = std::chrono::milliseconds(20)};
 constexpr Duration kRetryBudgetOpensAfter = std::chrono::milliseconds(530);
 
+constexpr const char* kCallerRequestId = "0123456789abcdef";
+
 /// A caller that sends one request and stores the bytes that it receives.
 struct Caller final : TcpStreamHandler {
   Caller(EventLoop& loop, const std::string& address, const std::string& method) : sent_at(loop.Now()) {
     stream = TcpStream::Connect(loop, address, *this);
-    stream->Write(method + " /q HTTP/1.1\r\nHost: h\r\n" + platform_names::kRequestIdField +
-                  ": 0123456789abcdef\r\nContent-Length: 0\r\n\r\n");
+    stream->Write(method + " /q HTTP/1.1\r\nHost: h\r\n" + platform_names::kRequestIdField + ": " + kCallerRequestId +
+                  "\r\nContent-Length: 0\r\n\r\n");
   }
   void OnData(std::string_view bytes) override { received.append(bytes); }
   void OnEnd(StreamEnd /*end*/) override { stream.reset(); }
@@ -38,7 +40,10 @@
 
 /// The request path of a gateway, with a routing table of one route.
 struct RequestHarness {
-  RequestHarness() { Sweep(); }
+  RequestHarness() {
+    upstreams.SetDaemons(1, "self", {});
+    Sweep();
+  }
   ~RequestHarness() { loop.Cancel(sweep_timer); }
 
   void Sweep() {  // as in Gateway::Tick()
--- a/src/testsuite/scripted_searcher.h
+++ b/src/testsuite/scripted_searcher.h
@@ -6,7 +6,9 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "names.h"
 #include "pimentomoor/event_loop.h"
@@ -14,12 +16,21 @@
 
 namespace pimentomoor {
 
+/// A response that is sent some time after the request, and possibly a second time later.
+struct TimedResponse {
+  std::string response;              // all bytes of the response; empty sends none
+  Duration delay{};                  // time from the request to the response
+  std::optional<Duration> resend{};  // time from the response to a second copy of it; unset sends none
+};
+
 /// What a searcher does for each request. Requests must arrive in one piece, as all received bytes count as one
 /// request.
 struct SearcherScript {
   enum class AfterResponse { kKeepOpen, kClose, kReset };
   std::string response;  // all bytes of the response; empty sends none
   AfterResponse after_response = AfterResponse::kKeepOpen;
+  // Responses to the first requests, in order of arrival; `response` answers the later ones.
+  std::vector<TimedResponse> first_responses = {};
 };
 
 /// A successful response without Content-Length, whose body ends with the connection.
@@ -31,6 +42,17 @@
   return std::string("HTTP/1.1 200 OK\r\n") + platform_names::kStampField +
          ": s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
+/// The same with the id of the request.
+inline std::string IdentifiedResponse(const std::string& request_id, const std::string& body) {
+  const std::string status_line = "HTTP/1.1 200 OK\r\n";
+  return status_line + platform_names::kRequestIdField + ": " + request_id + "\r\n" +
+         ResponseWithLength(body).substr(status_line.size());
+}
+/// A rejection of a searcher that has not run the request.
+inline std::string Rejection(const std::string& request_id) {
+  return std::string("HTTP/1.1 503 Full\r\n") + platform_names::kRequestIdField + ": " + request_id + "\r\n" +
+         platform_names::kNotRunField + ": 1\r\nContent-Length: 0\r\n\r\n";
+}
 
 class ScriptedSearcher {
  public:
@@ -40,6 +62,8 @@
   [[nodiscard]] std::string address() const { return listener_.address(); }
   /// Number of requests received.
   [[nodiscard]] unsigned arrivals() const { return arrivals_; }
+  /// Number of connections accepted.
+  [[nodiscard]] std::size_t connections() const { return connections_.size(); }
   /// Number of requests that the gateway cancelled by closing their connection, in a script without a response.
   [[nodiscard]] unsigned cancelled_requests() const { return cancelled_requests_; }
 
@@ -64,9 +88,24 @@
     connection.stream = std::make_unique<TcpStream>(loop_, fd, connection);
   }
 
+  void Send(Connection& connection, const std::string& bytes) {
+    if (connection.stream != nullptr) {
+      connection.stream->Write(bytes);
+    }
+  }
+
   void Respond(Connection& connection) {
-    ++arrivals_;
-    connection.stream->Write(script_.response);
+    const std::size_t index = arrivals_++;
+    if (index < script_.first_responses.size()) {
+      const TimedResponse& timed = script_.first_responses[index];
+      const auto send = [this, &connection, &timed] { Send(connection, timed.response); };
+      loop_.CallAfter(timed.delay, send);
+      if (timed.resend) {
+        loop_.CallAfter(timed.delay + *timed.resend, send);
+      }
+      return;
+    }
+    Send(connection, script_.response);
     if (script_.after_response != SearcherScript::AfterResponse::kKeepOpen) {
       // The delay lets the gateway read the response before the end of the connection.
       loop_.CallAfter(std::chrono::milliseconds(20), [&connection] { connection.stream.reset(); });
