Release the queue of an upstream that may no longer be used

Cause: whether an upstream may be used was checked when a request was queued for it, and not when a connection became free. An entry that says "draining" changed the state of the link and left its queue.

Ruled out: a late notice (the daemon logs the drain within milliseconds), and new requests to the draining searcher (the late arrivals were all queued before the drain).

Change: UpstreamLink::ReleaseInadmissible() ends the queued exchanges of an upstream that is not usable as not sent, so that their requests are placed anew or refused at once. It runs at each change of that state. On related paths the same: outages of a failure domain, whose state moves from UpstreamSet to the links, and answers 421.

Test: QueuedRequests, three tests; all three fail before the change (the queue is not moved; 504 in place of 200) and pass after it.

--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -133,15 +133,20 @@
   /// Closes connections that were not established in time and ends overdue exchanges.
   void Sweep(TimePoint now);
 
-  /// Stops sending to an upstream that said it is not the expected instance, until its entry changes.
-  void MarkMisdirected() { misdirected_ = true; }
+  /// Takes the upstream out of use while operators have its failure domain out of service. Its queue stays until
+  /// ReleaseInadmissible(), so that the queues of a whole failure domain are released when all its links are marked.
+  void SetInOutage(bool in_outage) { in_outage_ = in_outage; }
+  /// Ends the queued exchanges that may no longer be sent to the upstream with kNotSent, so that their requests go
+  /// elsewhere.
+  void ReleaseInadmissible();
 
   /// Tells whether the entry is missing in the store. The store may have lost the entry of a running upstream, so the
   /// upstream is then used only when there is no other.
   void SetEntryMissing(bool missing) { entry_missing_ = missing; }
 
-  [[nodiscard]] bool usable() const { return !retired_ && !misdirected_ && !entry_.draining; }
+  [[nodiscard]] bool usable() const { return !retired_ && !misdirected_ && !in_outage_ && !entry_.draining; }
   [[nodiscard]] bool misdirected() const { return misdirected_; }
+  [[nodiscard]] bool in_outage() const { return in_outage_; }
   [[nodiscard]] bool entry_missing() const { return entry_missing_; }
   [[nodiscard]] bool cold(TimePoint now) const { return now < cold_until_; }
   void SetColdFor(Duration left, TimePoint now) { cold_until_ = now + left; }
@@ -164,7 +169,8 @@
   /// Sends queued requests over idle connections and opens more connections while the limit allows.
   void SendWaiting();
   void Finish(const UpstreamExchangePtr& exchange, ExchangeOutcome outcome, ResponseMessage response);
-  void FailWaiting();
+  /// Ends the queued exchanges of which `predicate` is true with kNotSent.
+  void ReleaseWaiting(const std::function<bool(const UpstreamExchange&)>& predicate);
   void RemoveConnection(UpstreamConnection* connection);
   /// Remembers a lost request, which may have crashed the upstream. Opens a connection if there is none, because a
   /// refused connection confirms the crash.
@@ -176,13 +182,14 @@
   LinkContext& context_;
   UpstreamEntry entry_;
   std::vector<std::unique_ptr<UpstreamConnection>> connections_;  // newest first; idle ones are used from the back
-  std::deque<UpstreamExchangePtr> waiting_;                       // queued, oldest first
+  std::deque<UpstreamExchangePtr> waiting_;  // queued, oldest first; empty while the upstream is not usable
   std::vector<std::pair<TimePoint, std::shared_ptr<const UpstreamRequest>>>
       crash_suspects_;                           // recently lost requests, with the time of the loss
   std::vector<UpstreamExchangePtr> unanswered_;  // sent and not done, oldest first
   TimePoint cold_until_{};
   bool retired_ = false;
-  bool misdirected_ = false;
+  bool misdirected_ = false;  // the upstream said that it is not the expected instance; until its entry changes
+  bool in_outage_ = false;
   bool entry_missing_ = false;
 };
 
--- a/src/include/pimentomoor/upstream_set.h
+++ b/src/include/pimentomoor/upstream_set.h
@@ -64,8 +64,6 @@
   /// State of a service, which is created if it doesn't exist.
   ServiceState& FindOrCreateService(const std::string& name);
 
-  /// Whether the upstream accepts requests and its failure domain is in service.
-  [[nodiscard]] bool IsUsable(const UpstreamLink& link) const;
   /// Whether this daemon may send to the upstream now or later: it is usable, and either warm or a cold one that this
   /// daemon is a sender of.
   [[nodiscard]] bool MayServe(const ServiceState& service, const UpstreamLink& link) const;
@@ -86,7 +84,6 @@
   [[nodiscard]] std::size_t announced_count() const { return by_id_.size(); }
   [[nodiscard]] LinkContext& context() { return context_; }
   [[nodiscard]] const std::map<std::string, ServiceState>& services() const { return services_; }
-  [[nodiscard]] const std::set<std::string>& outages() const { return outages_; }
 
  private:
   /// Whether the upstream is cold and its service limits the request rate of cold upstreams.
--- a/src/libgateway/gateway_status.cpp
+++ b/src/libgateway/gateway_status.cpp
@@ -31,10 +31,10 @@
                                                         "resting",     "cold",     "ready"};
 constexpr std::size_t kReadyStateIndex = kUpstreamStates.size() - 1;
 
-std::size_t FindStateIndex(const UpstreamSet& upstreams, const UpstreamLink& link, TimePoint now) {
+std::size_t FindStateIndex(const UpstreamLink& link, TimePoint now) {
   const std::array<bool, kUpstreamStates.size()> applies = {link.misdirected(),
                                                             link.entry().draining,
-                                                            upstreams.outages().contains(link.entry().failure_domain),
+                                                            link.in_outage(),
                                                             link.entry_missing(),
                                                             now < link.signals.backoff_until,
                                                             link.cold(now),
@@ -49,7 +49,7 @@
   for (const auto& [name, service] : upstreams.services()) {
     std::array<std::size_t, kUpstreamStates.size()> counts{};
     for (const auto& link : service.links) {
-      const std::size_t state = FindStateIndex(upstreams, *link, now);
+      const std::size_t state = FindStateIndex(*link, now);
       ++counts[state];
       if (state != kReadyStateIndex) {
         unready.emplace_back(link->entry().id, state);
--- /dev/null
+++ b/src/libgateway/queued_requests_test.cpp
@@ -0,0 +1,83 @@
+// Tests of requests that wait for a connection to an upstream (searcher) when it stops accepting them, with callers
+// and upstreams on loopback.
+#include "request_harness.h"
+
+// clang-format off
+#include <CppUTest/TestHarness.h>  // last: it redefines operator new
+// clang-format on
+
+namespace pimentomoor {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr unsigned kOneConnection = 1;  // further requests wait in the queue
+constexpr unsigned kQueuedRequests = 3;
+constexpr Duration kWorkTime = milliseconds(300);  // the first request runs at the upstream while the others wait
+
+}  // namespace
+
+TEST_GROUP(QueuedRequests) {
+  RequestHarness harness;
+  const UpstreamEntry first_entry{.id = "first", .failure_domain = "b"};
+  ScriptedSearcher* first = nullptr;
+  ScriptedSearcher* second = nullptr;
+  std::vector<Caller*> callers;
+
+  /// Starts requests, one of which runs at the searcher `first` while the others wait in the queue for it. Adds the
+  /// searcher `second` then.
+  void FillQueue(const std::string& first_response, double cold_requests_per_s = 0) {
+    harness.SetRoute(SingleRoute(false), kOneConnection, cold_requests_per_s);
+    first = &harness.AddSearcher(
+        "s", {.response = "HTTP/1.1 200 OK\r\n\r\n", .first_responses = {{first_response, kWorkTime}}}, first_entry);
+    for (unsigned i = 0; i < 1 + kQueuedRequests; ++i) {
+      callers.push_back(&harness.Call("POST"));
+    }
+    CHECK(harness.loop.RunUntil([&] { return first->arrivals() == 1; }, seconds(1)));
+    harness.Wait(milliseconds(50));
+    second = &harness.AddSearcher("s", {.response = ResponseWithLength("second")}, {.id = "second"});
+  }
+
+  /// Checks that all requests that `first` did not run are served by `second`, before `first` has answered.
+  void CheckQueueMoved() {
+    CHECK(harness.loop.RunUntil([&] { return second->arrivals() == kQueuedRequests; }, kWorkTime / 2));
+    for (auto* caller : callers) {
+      CHECK(harness.WaitForAnswer(*caller));
+      CHECK_EQUAL(200, caller->status());
+    }
+    CHECK_EQUAL(1U, first->arrivals());
+  }
+};
+
+// Guards against requests that were queued before an upstream began to drain and are sent to it afterwards: it may
+// end before it has answered them.
+TEST(QueuedRequests, LeaveADrainingUpstream) {
+  FillQueue(ResponseWithLength("first"));
+  UpstreamEntry draining = harness.upstreams.services().at("s").links.front()->entry();
+  draining.draining = true;
+  draining.sequence += 1;
+  harness.upstreams.Announce(draining);
+  CheckQueueMoved();
+}
+
+// Guards against requests that were queued before operators took a failure domain out of service and are sent to its
+// upstreams afterwards.
+TEST(QueuedRequests, LeaveAFailureDomainThatIsTakenOut) {
+  FillQueue(ResponseWithLength("first"));
+  harness.upstreams.SetOutages({first_entry.failure_domain});
+  CheckQueueMoved();
+}
+
+// Guards against sending all queued requests to an upstream that has just said that it is another instance.
+TEST(QueuedRequests, LeaveAnUpstreamThatIsAnotherInstance) {
+  harness.Wait(kRetryBudgetOpensAfter);
+  FillQueue("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+  for (auto* caller : callers) {
+    CHECK(harness.WaitForAnswer(*caller));
+    CHECK_EQUAL(200, caller->status());
+  }
+  CHECK_EQUAL(1U, first->arrivals());
+}
+
+}  // namespace pimentomoor
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -159,7 +159,7 @@
       const bool tried =
           std::find(part.tried_ids.begin(), part.tried_ids.end(), link->entry().id) != part.tried_ids.end();
       // An upstream that rejected the request can be asked again when there is no other one.
-      if (!context_.upstreams.IsUsable(*link) || (tried && (pass == 0 || !retry_rejected))) {
+      if (!link->usable() || (tried && (pass == 0 || !retry_rejected))) {
         continue;
       }
       const UpstreamCandidate candidate = link->MakeCandidate(now);
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -32,6 +32,7 @@
   misdirected_ = false;
   entry_missing_ = false;
   cold_until_ = now + entry_.cold_remaining;
+  ReleaseInadmissible();
 }
 
 std::size_t UpstreamLink::ConnectionLimit() const {
@@ -141,7 +142,7 @@
   const bool any_connected =
       std::any_of(connections_.begin(), connections_.end(), [](const auto& left) { return left->connected(); });
   if (!any_connected) {
-    FailWaiting();
+    ReleaseWaiting([](const UpstreamExchange&) { return true; });
   }
 }
 
@@ -164,10 +165,19 @@
   }
 }
 
-void UpstreamLink::FailWaiting() {
-  std::deque<UpstreamExchangePtr> failed;
-  failed.swap(waiting_);
-  for (const auto& exchange : failed) {
+void UpstreamLink::ReleaseInadmissible() {
+  if (!usable()) {
+    ReleaseWaiting([](const UpstreamExchange&) { return true; });
+  }
+}
+
+void UpstreamLink::ReleaseWaiting(const std::function<bool(const UpstreamExchange&)>& predicate) {
+  const auto first_released = std::stable_partition(waiting_.begin(), waiting_.end(),
+                                                    [&](const auto& exchange) { return !predicate(*exchange); });
+  // Taken out of the queue first, because a handler may send its request to this upstream again.
+  const std::vector<UpstreamExchangePtr> released(first_released, waiting_.end());
+  waiting_.erase(first_released, waiting_.end());
+  for (const auto& exchange : released) {
     Finish(exchange, ExchangeOutcome::kNotSent, {});
   }
 }
@@ -191,7 +201,8 @@
     SuspectCrash(exchange);
   }
   if (response.status == 421) {
-    MarkMisdirected();
+    misdirected_ = true;
+    ReleaseInadmissible();
   }
   if (const auto handler = exchange->handler.lock()) {
     handler->OnExchangeDone(*exchange, outcome, response);
@@ -215,7 +226,7 @@
       RemoveConnection(connections_[i].get());
     }
   }
-  FailWaiting();
+  ReleaseInadmissible();
 }
 
 void UpstreamLink::Close() {
--- a/src/libgateway/upstream_set.cpp
+++ b/src/libgateway/upstream_set.cpp
@@ -64,6 +64,7 @@
     }
     if (IsSameLifetime(entry, link->entry())) {
       const bool starts_draining = entry.draining && !link->entry().draining;
+      link->SetInOutage(outages_.contains(entry.failure_domain));
       link->Update(std::move(entry), now);
       if (starts_draining) {
         LogInfo("upstream draining", {{"upstream", link->entry().id}, {"service", link->entry().service}});
@@ -74,6 +75,7 @@
   }
   ServiceState& service = FindOrCreateService(entry.service);
   const auto link = std::make_shared<UpstreamLink>(context_, std::move(entry));
+  link->SetInOutage(outages_.contains(link->entry().failure_domain));
   by_id_[link->entry().id] = link;
   const auto position = std::find_if(service.links.begin(), service.links.end(),
                                      [&](const auto& other) { return link->entry().id < other->entry().id; });
@@ -106,9 +108,19 @@
 }
 
 void UpstreamSet::SetOutages(std::set<std::string> failure_domains) {
-  if (failure_domains != outages_) {
-    outages_ = std::move(failure_domains);
-    LogInfo("outages changed", {{"failure_domains", std::to_string(outages_.size())}});
+  if (failure_domains == outages_) {
+    return;
+  }
+  outages_ = std::move(failure_domains);
+  LogInfo("outages changed", {{"failure_domains", std::to_string(outages_.size())}});
+  // All links are marked before any queue is released, so that no request moves to another upstream of the domain.
+  std::vector<std::shared_ptr<UpstreamLink>> links;
+  for (const auto& [id, link] : by_id_) {
+    link->SetInOutage(outages_.contains(link->entry().failure_domain));
+    links.push_back(link);
+  }
+  for (const auto& link : links) {
+    link->ReleaseInadmissible();
   }
 }
 
@@ -147,12 +159,8 @@
   }
 }
 
-bool UpstreamSet::IsUsable(const UpstreamLink& link) const {
-  return link.usable() && !outages_.contains(link.entry().failure_domain);
-}
-
 bool UpstreamSet::MayServe(const ServiceState& service, const UpstreamLink& link) const {
-  return IsUsable(link) && (!IsColdLimited(service, link) || ColdSenderCount(link.entry().id) > 0);
+  return link.usable() && (!IsColdLimited(service, link) || ColdSenderCount(link.entry().id) > 0);
 }
 
 std::size_t UpstreamSet::ColdSenderCount(const std::string& upstream_id) const {
