Accept a response without a request id only on a fresh connection

Callers would see: an unsafe request that runs twice, or the answer to another request, after an upstream has sent a response without a request id late or twice.

Cause: a response without an id counted as the answer to whatever request ran on its connection.

Change: a response without an id is the answer only on a connection that has carried no other request, and the connection is closed after it. On a reused connection it ends the exchange as malformed: the request may have run.

Test: LateResponses.ResponseWithoutAnIdIsNotTheAnswerToALaterRequest fails before the change (the unsafe request is sent again and answered 200) and passes after it; UpstreamThatNamesNoRequestGetsOneOnEachConnection guards the upstreams that never name requests. The searcher of the cost bench now echoes the id, as real ones do.

--- a/src/libgateway/late_responses_test.cpp
+++ b/src/libgateway/late_responses_test.cpp
@@ -12,6 +12,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+const std::string kRejectionWithoutId =
+    std::string("HTTP/1.1 503 Full\r\n") + platform_names::kNotRunField + ": 1\r\nContent-Length: 0\r\n\r\n";
+
 // A searcher that rejects the first request and sends that rejection again while it runs the second one.
 SearcherScript LateSecondRejection() {
   return {.response = IdentifiedResponse(kCallerRequestId, "late run"),
@@ -43,4 +46,35 @@
   }
 }
 
+// Guards against a late response without a request id, such as a second copy of one, that passes for the answer to
+// the next request on its connection.
+TEST(LateResponses, ResponseWithoutAnIdIsNotTheAnswerToALaterRequest) {
+  harness.SetRoute(SingleRoute(false), 1);
+  auto& searcher =
+      harness.AddSearcher("s", {.response = IdentifiedResponse("second", "second"),
+                                .first_responses = {{.response = IdentifiedResponse("first", "first")},
+                                                    {.response = kRejectionWithoutId, .delay = milliseconds(20)}}});
+  harness.Wait(kRetryBudgetOpensAfter);
+  auto& first = harness.Call("POST", "first");
+  CHECK(harness.WaitForAnswer(first));
+  auto& second = harness.Call("POST", "second");
+  CHECK(harness.WaitForAnswer(second));
+  CHECK_EQUAL(502, second.status());
+  harness.Wait(milliseconds(100));
+  CHECK_EQUAL(2U, searcher.arrivals());
+  CHECK_EQUAL(1U, searcher.connections());
+}
+
+// Guards against refusing all answers of an upstream that never names its requests.
+TEST(LateResponses, UpstreamThatNamesNoRequestGetsOneOnEachConnection) {
+  harness.SetRoute(SingleRoute(false));
+  auto& searcher = harness.AddSearcher("s", {.response = ResponseWithLength("whole")});
+  for (unsigned i = 1; i <= 3; ++i) {
+    auto& caller = harness.Call("POST", "id-" + std::to_string(i));
+    CHECK(harness.WaitForAnswer(caller));
+    CHECK_EQUAL(200, caller.status());
+    CHECK_EQUAL(i, searcher.connections());
+  }
+}
+
 }  // namespace pimentomoor
--- a/src/libgateway/upstream_connection.cpp
+++ b/src/libgateway/upstream_connection.cpp
@@ -87,17 +87,15 @@
     }
     ResponseMessage response = std::move(reader_->message());
     const bool interim = response.status < 200;
-    const bool other_request =
-        !response.request_id.empty() && response.request_id != running_exchange_->request->request_id;
-    if (!interim && !other_request) {
-      const bool reusable = response.keep_alive && bytes.empty();
+    if (!interim && IsAnswerToRunning(response)) {
+      const bool reusable = response.keep_alive && bytes.empty() && !response.request_id.empty();
       FinishRunning(ExchangeOutcome::kAnswered, std::move(response), reusable);
       return;
     }
-    if (other_request) {
+    if (!interim) {
       // This is a late response to an earlier request. The response to the running request may follow.
       link_.context_.metrics.Count("pimentomoor_upstream_crossed_responses_total");
-      if (++stray_responses_ > kMaxStrayResponses || !response.keep_alive) {
+      if (response.request_id.empty() || ++stray_responses_ > kMaxStrayResponses || !response.keep_alive) {
         FinishRunning(ExchangeOutcome::kMalformed, {}, false);
         return;
       }
@@ -107,6 +105,10 @@
   }
 }
 
+bool UpstreamConnection::IsAnswerToRunning(const ResponseMessage& response) const {
+  return response.request_id.empty() ? !reused_ : response.request_id == running_exchange_->request->request_id;
+}
+
 void UpstreamConnection::OnEnd(StreamEnd end) {
   if (end == StreamEnd::kConnectFailed) {
     link_.OnConnectFailed(this);
@@ -118,7 +120,7 @@
   }
   if (end == StreamEnd::kClosed && reader_->started() && reader_->ReadEnd() == ReadStatus::kComplete) {
     ResponseMessage response = std::move(reader_->message());
-    if (response.request_id.empty() || response.request_id == running_exchange_->request->request_id) {
+    if (IsAnswerToRunning(response)) {
       FinishRunning(ExchangeOutcome::kAnswered, std::move(response), false);
       return;
     }
@@ -133,6 +135,7 @@
   unparsed_.clear();
   UpstreamLink& link = link_;
   const auto keep_link = link.shared_from_this();
+  reused_ = true;
   if (reusable) {
     const TimePoint now = link.context_.loop.Now();
     reusable_until_ = response.keep_alive_s ? now + std::chrono::seconds(*response.keep_alive_s) - kIdleTimeoutMargin
--- a/src/libgateway/upstream_connection.h
+++ b/src/libgateway/upstream_connection.h
@@ -37,6 +37,9 @@
   void OnConnected() override;
   void OnData(std::string_view bytes) override;
   void OnEnd(StreamEnd end) override;
+  /// Whether the response is certain to answer the running request. One without a request id is so only on a
+  /// connection that has carried no other request; it could else be a late response to an earlier one.
+  [[nodiscard]] bool IsAnswerToRunning(const ResponseMessage& response) const;
   /// Ends the running exchange. The connection is closed unless it is `reusable`.
   void FinishRunning(ExchangeOutcome outcome, ResponseMessage response, bool reusable);
 
@@ -47,6 +50,7 @@
   std::string unparsed_;                  // received response bytes that are not parsed yet
   TimePoint opened_at_;
   TimePoint reusable_until_ = TimePoint::max();
+  bool reused_ = false;  // an exchange has ended on this connection; its response carried the id of its request
   unsigned stray_responses_ = 0;  // responses to earlier requests that came during the running one
   // Requests that this connection has carried and that may be sent again, because their callers still wait.
   std::vector<std::weak_ptr<const UpstreamRequest>> carried_requests_;
--- a/src/testsuite/fixed_response_searcher.h
+++ b/src/testsuite/fixed_response_searcher.h
@@ -1,4 +1,5 @@
-// A searcher that sends the same response to whatever bytes arrive, for measurements and tests of the request path.
+// A searcher that sends the same answer to each request, for measurements and tests of the request path. Each request
+// must arrive in one piece.
 #pragma once
 
 #include <deque>
@@ -23,12 +24,14 @@
  private:
   struct Connection final : TcpStreamHandler {
     Connection(EventLoop& loop, int fd) : stream(std::make_unique<TcpStream>(loop, fd, *this)) {}
-    void OnData(std::string_view /*bytes*/) override {
-      static const std::string response =
-          std::string("HTTP/1.1 200 OK\r\n") + platform_names::kStampField +
-          ": 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Length: " + std::to_string(kFixedRecordCount * kRecordBytes) +
-          "\r\n\r\n" + std::string(kFixedRecordCount * kRecordBytes, 'r');
-      stream->Write(response);
+    void OnData(std::string_view bytes) override {
+      static const std::string id_field = std::string(platform_names::kRequestIdField) + ": ";
+      static const std::string before_id = std::string("HTTP/1.1 200 OK\r\n") + platform_names::kStampField +
+                                           ": 3e1b.07.5a2.600.0.c9f2a4d1\r\n" + id_field;
+      static const std::string after_id = "\r\nContent-Length: " + std::to_string(kFixedRecordCount * kRecordBytes) +
+                                          "\r\n\r\n" + std::string(kFixedRecordCount * kRecordBytes, 'r');
+      const std::size_t id = bytes.find(id_field) + id_field.size();
+      stream->Write(before_id + std::string(bytes.substr(id, bytes.find('\r', id) - id)) + after_id);
     }
     void OnEnd(StreamEnd /*end*/) override { stream.reset(); }
     static constexpr std::size_t kRecordBytes = 16;
--- a/src/testsuite/request_harness.h
+++ b/src/testsuite/request_harness.h
@@ -21,9 +21,10 @@
 
 /// A caller that sends one request and stores the bytes that it receives.
 struct Caller final : TcpStreamHandler {
-  Caller(EventLoop& loop, const std::string& address, const std::string& method) : sent_at(loop.Now()) {
+  Caller(EventLoop& loop, const std::string& address, const std::string& method, const std::string& request_id)
+      : sent_at(loop.Now()) {
     stream = TcpStream::Connect(loop, address, *this);
-    stream->Write(method + " /q HTTP/1.1\r\nHost: h\r\n" + platform_names::kRequestIdField + ": " + kCallerRequestId +
+    stream->Write(method + " /q HTTP/1.1\r\nHost: h\r\n" + platform_names::kRequestIdField + ": " + request_id +
                   "\r\nContent-Length: 0\r\n\r\n");
   }
   void OnData(std::string_view bytes) override { received.append(bytes); }
@@ -83,7 +84,9 @@
     table = std::make_shared<RoutingTable>(spec);
   }
 
-  Caller& Call(const std::string& method = "GET") { return callers.emplace_back(loop, server.address(), method); }
+  Caller& Call(const std::string& method = "GET", const std::string& request_id = kCallerRequestId) {
+    return callers.emplace_back(loop, server.address(), method, request_id);
+  }
   void Wait(Duration time) {
     loop.RunUntil([] { return false; }, time);
   }
