Release the queue of an upstream that turns cold

Cause: the token of the cold rate is taken when a request is placed. Requests that were queued while the upstream was warm have none, and were sent as connections became free.

Change: an exchange says whether its upstream was cold when it was chosen. When an upstream turns cold, or its service begins to limit the cold rate, queued exchanges that the rate doesn't count are released. A request whose exchange was released and that finds no token waits until its objective, like a new one.

Test: QueuedRequests.LeaveAnUpstreamThatTurnsCold and KeepToTheColdRateWithoutAnotherUpstream fail before the change and pass after it.

--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -82,6 +82,7 @@
   TimePoint give_up_at{};  // the connection is closed then if there is no answer
   bool sent = false;
   bool done = false;
+  bool admitted_cold = false;  // the upstream was cold when it was chosen, so its cold rate counts the exchange
   // The handler sets these for traces.
   SendReason send_reason = SendReason::kFirst;
   ExchangeOutcome outcome = ExchangeOutcome::kNotSent;  // valid once ended_at is set
@@ -136,8 +137,9 @@
   /// Takes the upstream out of use while operators have its failure domain out of service. Its queue stays until
   /// ReleaseInadmissible(), so that the queues of a whole failure domain are released when all its links are marked.
   void SetInOutage(bool in_outage) { in_outage_ = in_outage; }
-  /// Ends the queued exchanges that may no longer be sent to the upstream with kNotSent, so that their requests go
-  /// elsewhere.
+  /// Ends the queued exchanges that may no longer be sent to the upstream with kNotSent, so that their requests are
+  /// placed anew: all of them when it is not usable, and when it has become cold those that its cold rate doesn't
+  /// count.
   void ReleaseInadmissible();
 
   /// Tells whether the entry is missing in the store. The store may have lost the entry of a running upstream, so the
@@ -149,16 +151,17 @@
   [[nodiscard]] bool in_outage() const { return in_outage_; }
   [[nodiscard]] bool entry_missing() const { return entry_missing_; }
   [[nodiscard]] bool cold(TimePoint now) const { return now < cold_until_; }
-  void SetColdFor(Duration left, TimePoint now) { cold_until_ = now + left; }
+  void SetColdFor(Duration left, TimePoint now);
   /// Describes the upstream for the choice between upstreams.
   [[nodiscard]] UpstreamCandidate MakeCandidate(TimePoint now) const;
   [[nodiscard]] bool busy() const { return !connections_.empty() || !waiting_.empty(); }
 
   UpstreamSignals signals;
   ColdRateLimiter cold_rate_limiter;
-  unsigned max_connections = 1;  // connections that the upstream accepts from all daemons together
-  std::size_t sender_count = 1;  // daemons that share max_connections
-  bool in_subset = true;         // this daemon is one of those that share max_connections
+  unsigned max_connections = 1;   // connections that the upstream accepts from all daemons together
+  std::size_t sender_count = 1;   // daemons that share max_connections
+  bool in_subset = true;          // this daemon is one of those that share max_connections
+  bool limits_cold_rate = false;  // the service limits the rate of requests to a cold upstream
 
  private:
   friend class UpstreamConnection;
--- a/src/include/pimentomoor/upstream_set.h
+++ b/src/include/pimentomoor/upstream_set.h
@@ -66,7 +66,7 @@
 
   /// Whether this daemon may send to the upstream now or later: it is usable, and either warm or a cold one that this
   /// daemon is a sender of.
-  [[nodiscard]] bool MayServe(const ServiceState& service, const UpstreamLink& link) const;
+  [[nodiscard]] bool MayServe(const UpstreamLink& link) const;
   /// Takes a token from the rate limiter of a cold upstream. Always returns true for a warm one.
   bool TryTakeColdToken(ServiceState& service, UpstreamLink& link);
   [[nodiscard]] bool MayRetry(const ServiceState& service) const;
@@ -87,8 +87,8 @@
 
  private:
   /// Whether the upstream is cold and its service limits the request rate of cold upstreams.
-  [[nodiscard]] bool IsColdLimited(const ServiceState& service, const UpstreamLink& link) const {
-    return service.spec.cold_requests_per_s > 0 && link.cold(context_.loop.Now());
+  [[nodiscard]] bool IsColdLimited(const UpstreamLink& link) const {
+    return link.limits_cold_rate && link.cold(context_.loop.Now());
   }
   /// Number of daemons that share the cold upstream's rate; 0 when this daemon is not one of them.
   [[nodiscard]] std::size_t ColdSenderCount(const std::string& upstream_id) const;
--- a/src/libgateway/queued_requests_test.cpp
+++ b/src/libgateway/queued_requests_test.cpp
@@ -14,6 +14,9 @@
 
 constexpr unsigned kOneConnection = 1;  // further requests wait in the queue
 constexpr unsigned kQueuedRequests = 3;
+constexpr double kColdRequestsPerS = 1;
+const std::string kTurnsCold = std::string("HTTP/1.1 200 OK\r\n") + platform_names::kColdMsField + ": 60000\r\n" +
+                               ResponseWithLength("first").substr(std::string("HTTP/1.1 200 OK\r\n").size());
 constexpr Duration kWorkTime = milliseconds(300);  // the first request runs at the upstream while the others wait
 
 }  // namespace
@@ -80,4 +83,32 @@
   CHECK_EQUAL(1U, first->arrivals());
 }
 
+// Guards against sending the queue of a warm upstream to it after it has turned cold: it bears only its cold rate.
+TEST(QueuedRequests, LeaveAnUpstreamThatTurnsCold) {
+  FillQueue(kTurnsCold, kColdRequestsPerS);
+  for (auto* caller : callers) {
+    CHECK(harness.WaitForAnswer(*caller));
+    CHECK_EQUAL(200, caller->status());
+  }
+  CHECK_EQUAL(1U, first->arrivals());
+}
+
+// Guards against the same when there is no other upstream: the requests wait for the cold rate or are refused.
+TEST(QueuedRequests, KeepToTheColdRateWithoutAnotherUpstream) {
+  constexpr unsigned kQueueLength = 12;
+  constexpr double kBound =
+      kColdRequestsPerS * 1.5 + 5;  // in each second, for all daemons; docs/platform.md, section 3
+  harness.SetRoute(SingleRoute(false), kOneConnection, kColdRequestsPerS);
+  auto& searcher = harness.AddSearcher("s", {.response = IdentifiedResponse(kCallerRequestId, "cold"),
+                                             .first_responses = {{.response = kTurnsCold, .delay = kWorkTime}}});
+  for (unsigned i = 0; i < 1 + kQueueLength; ++i) {
+    callers.push_back(&harness.Call("POST"));
+  }
+  for (auto* caller : callers) {
+    CHECK(harness.WaitForAnswer(*caller));
+    CHECK(caller->status() == 200 || caller->status() == 503);
+  }
+  CHECK(searcher.arrivals() <= 1 + kBound);
+}
+
 }  // namespace pimentomoor
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -124,7 +124,7 @@
 std::size_t RequestRun::ServableParts() const {
   return static_cast<std::size_t>(std::count_if(parts_.begin(), parts_.end(), [this](const Part& part) {
     return std::any_of(part.service->links.begin(), part.service->links.end(),
-                       [&](const auto& link) { return context_.upstreams.MayServe(*part.service, *link); });
+                       [&](const auto& link) { return context_.upstreams.MayServe(*link); });
   }));
 }
 
@@ -376,6 +376,11 @@
     ScheduleTimer();
     return;
   }
+  if (part.sent_count == 0 && part.waits_for_cold_token) {
+    part.next_send_at = context_.loop.Now() + context_.settings.retry_pause;
+    ScheduleTimer();
+    return;
+  }
   if (!is_gather()) {
     const bool final =
         part.may_have_run_count >= route_.max_attempts || (!route_.idempotent && part.may_have_run_count > 0);
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -58,6 +58,7 @@
 void UpstreamLink::Send(const UpstreamExchangePtr& exchange) {
   exchange->link = shared_from_this();
   exchange->give_up_at = exchange->deadline + kOverdueTolerance;
+  exchange->admitted_cold = cold(context_.loop.Now());
   waiting_.push_back(exchange);
   SendWaiting();
 }
@@ -165,9 +166,16 @@
   }
 }
 
+void UpstreamLink::SetColdFor(Duration left, TimePoint now) {
+  cold_until_ = now + left;
+  ReleaseInadmissible();
+}
+
 void UpstreamLink::ReleaseInadmissible() {
   if (!usable()) {
     ReleaseWaiting([](const UpstreamExchange&) { return true; });
+  } else if (limits_cold_rate && cold(context_.loop.Now())) {
+    ReleaseWaiting([](const UpstreamExchange& exchange) { return !exchange.admitted_cold; });
   }
 }
 
--- a/src/libgateway/upstream_set.cpp
+++ b/src/libgateway/upstream_set.cpp
@@ -130,6 +130,9 @@
     if (service.spec != spec) {
       service.spec = spec;
       AssignSenders(service);
+      for (const auto& link : service.links) {
+        link->ReleaseInadmissible();
+      }
     }
   }
 }
@@ -155,12 +158,13 @@
     UpstreamLink& link = *service.links[i];
     link.max_connections = std::max(1U, service.spec.max_connections);
     link.sender_count = subset.daemons_per_upstream;
+    link.limits_cold_rate = service.spec.cold_requests_per_s > 0;
     link.in_subset = IsInSubset(subset, i, service.links.size());
   }
 }
 
-bool UpstreamSet::MayServe(const ServiceState& service, const UpstreamLink& link) const {
-  return link.usable() && (!IsColdLimited(service, link) || ColdSenderCount(link.entry().id) > 0);
+bool UpstreamSet::MayServe(const UpstreamLink& link) const {
+  return link.usable() && (!IsColdLimited(link) || ColdSenderCount(link.entry().id) > 0);
 }
 
 std::size_t UpstreamSet::ColdSenderCount(const std::string& upstream_id) const {
@@ -172,7 +176,7 @@
 }
 
 bool UpstreamSet::TryTakeColdToken(ServiceState& service, UpstreamLink& link) {
-  if (!IsColdLimited(service, link)) {
+  if (!IsColdLimited(link)) {
     return true;
   }
   const std::size_t senders = ColdSenderCount(link.entry().id);
