Bound the memory of unfinished responses

Operators saw (report of others): a faulty searcher answers without end, the daemon that called it runs out of memory, and the requests of other callers end with it.

Cause: three. The limit of 8 MB for one response held for each of up to eight connections to a searcher, with no bound on the sum. The line of a chunk and a trailer were kept until their end arrived, and no limit counted them. A gather kept the whole bodies of its parts until it was answered.

Change: ReceiveBudget bounds the unfinished responses of all upstreams together to 32 MB; beyond it the upstream that holds most loses its largest response, which ends as malformed. The HTTP readers bound the unparsed bytes of a message to the limit of the head, also for requests and for answers of the store. A gather keeps the greatest records of each part. Bodies of known length get their memory at once.

--- a/src/include/pimentomoor/http1_message.h
+++ b/src/include/pimentomoor/http1_message.h
@@ -72,13 +72,13 @@
   kNeedMore,      // the message is incomplete
   kComplete,      // the message has been read to its end
   kMalformed,     // not an HTTP/1.1 message, or one that two servers could read differently
-  kHeadTooLarge,  // the start line and header fields exceed MessageLimits::head_bytes
+  kHeadTooLarge,  // the start line and header fields, or a chunk's line or trailer, exceed MessageLimits::head_bytes
   kBodyTooLarge   // the body exceeds MessageLimits::body_bytes
 };
 
 /// Largest accepted size of the parts of a message.
 struct MessageLimits {
-  std::uint32_t head_bytes = 16 * 1024;  // start line and header fields
+  std::uint32_t head_bytes = 16 * 1024;  // start line and header fields; also a chunk's line, and the trailer
   std::uint64_t body_bytes = std::uint64_t{1024} * 1024;
 
   friend bool operator==(const MessageLimits&, const MessageLimits&) = default;
@@ -125,6 +125,8 @@
   [[nodiscard]] bool head_complete() const;
   /// The message as read so far.
   ResponseMessage& message();
+  /// Memory that the message as read so far occupies.
+  [[nodiscard]] std::size_t held_bytes() const;
 
  private:
   class Parser;
--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -136,10 +136,10 @@
   std::shared_ptr<UpstreamRequest> request_;
   std::vector<Part> parts_;
   std::size_t done_parts_ = 0;
-  std::size_t lost_exchanges_ = 0;        // exchanges whose connection ended without an answer
-  std::vector<std::string> part_bodies_;  // bodies of the answered parts
-  TimePoint objective_deadline_{};        // an incomplete answer with enough parts is sent then
-  TimePoint final_deadline_{};            // the request is answered then in any case
+  std::size_t lost_exchanges_ = 0;         // exchanges whose connection ended without an answer
+  std::vector<std::string> part_records_;  // the greatest records of each answered part
+  TimePoint objective_deadline_{};         // an incomplete answer with enough parts is sent then
+  TimePoint final_deadline_{};             // the request is answered then in any case
   TimerId timer_ = 0;
   TimePoint timer_due_at_{};
   bool may_have_run_ = false;
--- a/src/libgateway/request_answer.cpp
+++ b/src/libgateway/request_answer.cpp
@@ -57,8 +57,8 @@
   response.fields +=
       "\r\n" + context_.names.missing_parts + ": " + std::to_string(parts_.size() - done_parts_) + "\r\n";
   TopRecords top(route_.top_records);
-  for (const auto& body : part_bodies_) {
-    top.Add(body);
+  for (const auto& records : part_records_) {
+    top.Add(records);
   }
   response.body = top.Merge();
   Respond(response, done_parts_ == parts_.size() ? "outcome=\"whole\"" : "outcome=\"partial\"");
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "pimentomoor/top_records.h"
+
 namespace pimentomoor {
 
 namespace {
@@ -348,7 +350,10 @@
   }
   Part& part = parts_[index];
   part.stamp = std::move(response.stamp);
-  part_bodies_.push_back(std::move(response.body));
+  // Only these records of the part can be among those of the answer, and a part may be large.
+  TopRecords greatest(route_.top_records);
+  greatest.Add(response.body);
+  part_records_.push_back(greatest.Merge());
   FinishPart(part);
   RespondIfGatherReady();
 }
--- a/src/libgateway/request_run_test.cpp
+++ b/src/libgateway/request_run_test.cpp
@@ -24,8 +24,14 @@
   EventLoop loop_{clock_};
   Metrics metrics_;
   std::unique_ptr<PlatformCodec> codec_ = MakePlatformCodec();
-  UpstreamSet upstreams_{
-      {.loop = loop_, .metrics = metrics_, .names = codec_->field_names(), .failure_domain = "a"}, {}, {}};
+  ReceiveBudget receive_budget_{loop_};
+  UpstreamSet upstreams_{{.loop = loop_,
+                          .metrics = metrics_,
+                          .names = codec_->field_names(),
+                          .receive_budget = receive_budget_,
+                          .failure_domain = "a"},
+                         {},
+                         {}};
   CrashReports crashes_{1};
   SharedRequestContext request_context_{.loop = loop_,
                                         .metrics = metrics_,
--- a/src/libgateway/upstream_connection.cpp
+++ b/src/libgateway/upstream_connection.cpp
@@ -35,7 +35,10 @@
 
 }  // namespace
 
-UpstreamConnection::UpstreamConnection(UpstreamLink& link) : link_(link), opened_at_(link.context_.loop.Now()) {}
+UpstreamConnection::UpstreamConnection(UpstreamLink& link)
+    : link_(link),
+      opened_at_(link.context_.loop.Now()),
+      held_bytes_(link.context_.receive_budget, link.entry().id, [this] { OnResponseRevoked(); }) {}
 
 bool UpstreamConnection::Open() {
   stream_ = TcpStream::Connect(link_.context_.loop, link_.entry().address, *this, kTcpOptions);
@@ -79,6 +82,7 @@
     const ReadStatus status = reader_->Read(bytes);
     if (status == ReadStatus::kNeedMore) {
       unparsed_.assign(bytes);
+      held_bytes_.Set(reader_->held_bytes() + unparsed_.capacity());
       return;
     }
     if (status != ReadStatus::kComplete) {
@@ -128,11 +132,17 @@
   FinishRunning(reader_->started() ? ExchangeOutcome::kMalformed : ExchangeOutcome::kLost, {}, false);
 }
 
+void UpstreamConnection::OnResponseRevoked() {
+  link_.context_.metrics.Count("pimentomoor_upstream_responses_revoked_total");
+  FinishRunning(ExchangeOutcome::kMalformed, {}, false);
+}
+
 void UpstreamConnection::FinishRunning(ExchangeOutcome outcome, ResponseMessage response, bool reusable) {
   const UpstreamExchangePtr exchange = std::move(running_exchange_);
   running_exchange_ = nullptr;
   reader_.reset();
-  unparsed_.clear();
+  unparsed_ = {};
+  held_bytes_.Set(0);
   UpstreamLink& link = link_;
   const auto keep_link = link.shared_from_this();
   reused_ = true;
--- a/src/libgateway/upstream_connection.h
+++ b/src/libgateway/upstream_connection.h
@@ -23,7 +23,10 @@
   [[nodiscard]] bool MayCarry(const UpstreamExchange& exchange) const;
   /// Sends the request of `exchange`. The connection must be idle, and MayCarry() true.
   void StartExchange(UpstreamExchangePtr exchange);
-  void Close() { stream_.reset(); }
+  void Close() {
+    stream_.reset();
+    held_bytes_.Set(0);
+  }
 
   [[nodiscard]] bool connected() const { return stream_ != nullptr && stream_->connected(); }
   [[nodiscard]] bool idle() const { return connected() && running_exchange_ == nullptr; }
@@ -37,6 +40,7 @@
   void OnConnected() override;
   void OnData(std::string_view bytes) override;
   void OnEnd(StreamEnd end) override;
+  void OnResponseRevoked();
   /// Whether the response is certain to answer the running request. One without a request id is so only on a
   /// connection that has carried no other request; it could else be a late response to an earlier one.
   [[nodiscard]] bool IsAnswerToRunning(const ResponseMessage& response) const;
@@ -50,7 +54,8 @@
   std::string unparsed_;                  // received response bytes that are not parsed yet
   TimePoint opened_at_;
   TimePoint reusable_until_ = TimePoint::max();
-  bool reused_ = false;  // an exchange has ended on this connection; its response carried the id of its request
+  ReceivedBytes held_bytes_;  // of the response that is being read
+  bool reused_ = false;       // an exchange has ended on this connection; its response carried the id of its request
   unsigned stray_responses_ = 0;  // responses to earlier requests that came during the running one
   // Requests that this connection has carried and that may be sent again, because their callers still wait.
   std::vector<std::weak_ptr<const UpstreamRequest>> carried_requests_;
--- a/src/libnet/http1_message.cpp
+++ b/src/libnet/http1_message.cpp
@@ -109,7 +109,7 @@
       return ReadStatus::kMalformed;
     }
     if (error == http::error::need_more) {
-      return ReadStatus::kNeedMore;
+      return parser.NeedMore(bytes.size());
     }
     if (error) {
       return StatusOf(error);
@@ -129,7 +129,7 @@
 class MessageParser : public http::basic_parser<is_request> {
  public:
   MessageParser(const FieldNames& names, const MessageLimits& limits)
-      : names_(names), max_head_bytes_(limits.head_bytes) {
+      : names_(names), max_head_bytes_(limits.head_bytes), max_body_bytes_(limits.body_bytes) {
     this->header_limit(limits.head_bytes);
     this->body_limit(limits.body_bytes);
     this->eager(false);  // put() stops at the end of the head, so that CountHeadBytes() counts no byte of the body
@@ -147,12 +147,24 @@
     return head_bytes_ + (this->eager() ? 0 : remaining) > max_head_bytes_;
   }
 
+  // What to report for an incomplete message of which `unparsed` bytes are kept until more arrive: part of the head,
+  // or of the line or trailer of a chunk, which has no end of its own.
+  [[nodiscard]] ReadStatus NeedMore(std::size_t unparsed) const {
+    return unparsed > max_head_bytes_ ? ReadStatus::kHeadTooLarge : ReadStatus::kNeedMore;
+  }
+
   [[nodiscard]] bool malformed() const { return malformed_; }
   [[nodiscard]] bool CanFinishEmpty() const { return false; }
   Message& message() { return message_; }
+  [[nodiscard]] const Message& message() const { return message_; }
 
  protected:
-  void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code& error) final { error = {}; }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code& error) final {
+    error = {};
+    if (length && *length <= max_body_bytes_) {
+      message_.body.reserve(*length);
+    }
+  }
   std::size_t on_body_impl(string_view body, error_code& error) final {
     error = {};
     message_.body.append(body.data(), body.size());
@@ -179,6 +191,7 @@
 
   const FieldNames& names_;
   const std::size_t max_head_bytes_;
+  const std::uint64_t max_body_bytes_;
   std::size_t head_bytes_ = 0;  // bytes of the head that were read
   Message message_;
   std::vector<std::string> connection_tokens_;  // field names listed in Connection fields
@@ -341,6 +354,12 @@
 bool ResponseReader::head_complete() const { return parser_->is_header_done(); }
 ResponseMessage& ResponseReader::message() { return parser_->message(); }
 
+std::size_t ResponseReader::held_bytes() const {
+  const ResponseMessage& message = parser_->message();
+  // The part of the body's memory that was reserved and never written isn't occupied.
+  return std::min(message.body.capacity(), 2 * message.body.size()) + message.forward_fields.capacity();
+}
+
 ReadStatus ResponseReader::ReadEnd() {
   if (!parser_->started()) {
     return ReadStatus::kMalformed;
--- a/src/libnet/http1_message_test.cpp
+++ b/src/libnet/http1_message_test.cpp
@@ -102,6 +102,20 @@
         ReadStatus::kBodyTooLarge);
 }
 
+// Guards against peers that fill the memory with the line of a chunk or with a trailer, which is kept until its end
+// arrives.
+TEST(Http1Message, UnfinishedChunkLinesAndTrailersAreBounded) {
+  const std::string long_text(kLimits.head_bytes + 1, 'a');
+  for (const auto& start : {std::string("1;"), std::string("0\r\nA: "), std::string("1\r\na\r\n0\r\nA: 1\r\nB: ")}) {
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    CHECK(ReadRequest(MakeRequest(chunked, start + "a")).status == ReadStatus::kNeedMore);
+    CHECK(ReadRequest(MakeRequest(chunked, start + long_text)).status == ReadStatus::kHeadTooLarge);
+    const std::string response_head = "HTTP/1.1 200 OK\r\n" + chunked + "\r\n";
+    CHECK(ReadResponse(response_head + start + "a").status == ReadStatus::kNeedMore);
+    CHECK(ReadResponse(response_head + start + long_text).status == ReadStatus::kHeadTooLarge);
+  }
+}
+
 // Guards against a message that is read differently when it arrives in pieces, and against lost bytes of the message
 // that follows it.
 TEST(Http1Message, DeliveryInPiecesEqualsWholeDelivery) {
--- a/src/libroute/top_records_test.cpp
+++ b/src/libroute/top_records_test.cpp
@@ -17,6 +17,7 @@
   CHECK(CheckProperty(3'000, "merge equals naive merge", [] {
     const auto limit = *rc::gen::inRange<std::size_t>(0, 12);
     TopRecords merged(limit);
+    TopRecords merged_from_greatest(limit);  // gets only the greatest records of each part
     std::vector<std::string> all;
     for (int i = *rc::gen::inRange(0, 6); i > 0; --i) {
       std::string part;
@@ -27,9 +28,13 @@
       }
       part += std::string(*rc::gen::inRange<std::size_t>(0, kRecordBytes), '\xff');
       merged.Add(part);
+      TopRecords greatest(limit);
+      greatest.Add(part);
+      merged_from_greatest.Add(greatest.Merge());
       all.push_back(part);
     }
     RC_ASSERT(merged.Merge() == MergeRecordsNaive(all, limit));
+    RC_ASSERT(merged_from_greatest.Merge() == merged.Merge());
   }));
 }
 
--- a/src/testsuite/bench_gateway.cpp
+++ b/src/testsuite/bench_gateway.cpp
@@ -23,8 +23,12 @@
  public:
   explicit GatewayBench(std::size_t parts, bool gather)
       : codec_(MakePlatformCodec()),
-        upstreams_({.loop = loop_, .metrics = metrics_, .names = codec_->field_names(), .failure_domain = "a"}, {},
-                   {}),
+        upstreams_({.loop = loop_,
+                    .metrics = metrics_,
+                    .names = codec_->field_names(),
+                    .receive_budget = receive_budget_,
+                    .failure_domain = "a"},
+                   {}, {}),
         crashes_(1),
         request_context_{.loop = loop_,
                          .metrics = metrics_,
@@ -86,6 +90,7 @@
   Metrics metrics_;
   std::unique_ptr<PlatformCodec> codec_;
   std::vector<std::unique_ptr<FixedResponseSearcher>> searchers_;
+  ReceiveBudget receive_budget_{loop_};
   UpstreamSet upstreams_;
   CrashReports crashes_;
   SharedRequestContext request_context_;
--- a/src/testsuite/gateway_searchers.h
+++ b/src/testsuite/gateway_searchers.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "arrival_checks.h"
+#include "endless_server.h"
 #include "gateway_store.h"
 #include "names.h"
 #include "pimentomoor/top_records.h"
@@ -43,14 +44,15 @@
 /// In the order of the values of the control parameter `fault`.
 enum class SearcherFault {
   kNone,
-  kPause,  // starts no request for a time
-  kFail,   // runs the request and answers 500
-  kReset,  // runs the request and closes all connections
-  kLose,   // runs the request and never answers it
-  kExtra,  // sends the response to the previous request again before this one
-  kGone,   // closes the listener and all connections, but keeps its entry in the store
-  kDrain,  // announces that it takes no new requests
-  kSlow,   // needs a given time for each request
+  kPause,    // starts no request for a time
+  kFail,     // runs the request and answers 500
+  kReset,    // runs the request and closes all connections
+  kLose,     // runs the request and never answers it
+  kExtra,    // sends the response to the previous request again before this one
+  kGone,     // closes the listener and all connections, but keeps its entry in the store
+  kDrain,    // announces that it takes no new requests
+  kSlow,     // needs a given time for each request
+  kEndless,  // answers with bytes that never end, in a head, a body, a chunk extension or a trailer
 };
 
 class GatewaySearcher {
@@ -73,8 +75,12 @@
     work_time_ = fault == SearcherFault::kSlow ? time : kWorkTime;
     paused_until_ = loop_.Now() + pause;
     loop_.CallAfter(pause, [this] { StartQueued(); });
-    if (fault == SearcherFault::kGone) {
+    endless_server_.reset();
+    if (fault == SearcherFault::kGone || fault == SearcherFault::kEndless) {
       server_.reset();
+      if (fault == SearcherFault::kEndless) {
+        endless_server_ = std::make_unique<EndlessServer>(loop_, address_);
+      }
     } else if (server_ == nullptr) {
       Listen();
     }
@@ -202,7 +208,8 @@
   Metrics& metrics_;
   GatewayStore& store_;
   const std::string service_, replica_, address_;
-  std::unique_ptr<CallerServer> server_;  // null during kGone
+  std::unique_ptr<CallerServer> server_;           // null during kGone and kEndless
+  std::unique_ptr<EndlessServer> endless_server_;  // set exactly during kEndless
   std::deque<Exchange> queue_;
   std::vector<Exchange> unanswered_;  // exchanges of kLose, kept open
   std::string previous_response_;     // fields and body of the previous response, and the status line of the next one
--- a/src/testsuite/gateway_standin_main.cpp
+++ b/src/testsuite/gateway_standin_main.cpp
@@ -6,7 +6,7 @@
 //   /table?version=N                        publishes the routing table with this version
 //   /counters?prefix=PREFIX&zone=ZONE       counters of request ids with the prefix and of searchers in the zone
 //   /outage?zone=ZONE&out=0|1&cold-ms=N     ends or starts an outage; after it, searchers are cold for cold-ms
-//   /searcher?name=PREFIX&fault=none|pause|fail|reset|lose|extra|gone|drain|slow&count=N&every=N&ms=N
+//   /searcher?name=PREFIX&fault=none|pause|fail|reset|lose|extra|gone|drain|slow|endless&count=N&every=N&ms=N
 //                                           sets a fault of the searchers whose id has the prefix
 #include <tclap/CmdLine.h>
 
@@ -47,7 +47,7 @@
     const auto number_of = [&query](const char* key) { return std::atoi(QueryParameter(query, key).c_str()); };
     const std::size_t mode = index_of("mode", {"ok", "unavailable", "silent", "drop-history"});
     const std::size_t fault =
-        index_of("fault", {"none", "pause", "fail", "reset", "lose", "extra", "gone", "drain", "slow"});
+        index_of("fault", {"none", "pause", "fail", "reset", "lose", "extra", "gone", "drain", "slow", "endless"});
     OutgoingResponse response;
     if (path == "/store" && mode == 3) {
       store_.DropHistory();
@@ -55,7 +55,7 @@
       store_.SetMode(static_cast<GatewayStore::Mode>(mode));
     } else if (path == "/table") {
       PublishRoutingTable(QueryParameter(query, "version"));
-    } else if (path == "/searcher" && fault <= static_cast<std::size_t>(SearcherFault::kSlow)) {
+    } else if (path == "/searcher" && fault <= static_cast<std::size_t>(SearcherFault::kEndless)) {
       for (const auto& searcher : searchers_) {
         if (searcher->id().starts_with(QueryParameter(query, "name"))) {
           searcher->SetFault(static_cast<SearcherFault>(fault), static_cast<unsigned>(number_of("count")),
--- a/src/testsuite/gateway_test.sh
+++ b/src/testsuite/gateway_test.sh
@@ -10,7 +10,7 @@
 . src/testsuite/gateway_cluster.sh
 
 TESTS="test_wrong_settings test_kill test_stop test_store_silent test_history_dropped test_drain test_unsafe_faults
-  test_extra_responses test_searchers_away test_callers_leave test_failure_domain_out_and_back test_stop_while_frozen
+  test_extra_responses test_endless_answers test_searchers_away test_callers_leave test_failure_domain_out_and_back test_stop_while_frozen
   test_restart_all"
 
 # ARGUMENTS...: starts the load in the background
@@ -162,6 +162,28 @@
   check_mostly_whole 400
 }
 
+# N: prints the largest resident memory of daemon N so far, in MB
+peak_memory_mb() { awk '/^VmHWM/ {print int($2 / 1024)}' "/proc/${GATEWAY_PIDS[$1]}/status"; }
+
+# Guards against a daemon that keeps all bytes of answers that never end, until it has no memory left.
+test_endless_answers() {
+  local n faulty_load
+  start_load --seconds 8 --route pages --route order
+  sleep 1
+  set_searcher_fault fetch endless
+  gateway_load --seconds 6 --rate 200 --route fetch >"$FOLDER/faulty_load" 2>&1 &
+  faulty_load=$!
+  wait_for_load_and_check
+  check_all_served
+  wait "$faulty_load"
+  check "no answer without end passes for a whole one" same $? 0
+  echo "        $(tail -n 1 "$FOLDER/faulty_load")"
+  for n in 1 2 3; do
+    echo "        daemon $n: at most $(peak_memory_mb $n) MB so far"
+    check "daemon $n stays far below the 160 MB of the smallest host" at_most "$(peak_memory_mb $n)" 96
+  done
+}
+
 # Guards against requests that fail because one of the two searchers of a service is away.
 test_searchers_away() {
   start_load --seconds 4 --route pages --route fetch
--- a/src/testsuite/request_harness.h
+++ b/src/testsuite/request_harness.h
@@ -105,7 +105,12 @@
   EventLoop loop{clock};
   Metrics metrics;
   std::unique_ptr<PlatformCodec> codec = MakePlatformCodec();
-  UpstreamSet upstreams{{.loop = loop, .metrics = metrics, .names = codec->field_names(), .failure_domain = "a"},
+  ReceiveBudget receive_budget{loop};
+  UpstreamSet upstreams{{.loop = loop,
+                         .metrics = metrics,
+                         .names = codec->field_names(),
+                         .receive_budget = receive_budget,
+                         .failure_domain = "a"},
                         kShortWindowBudget,
                         {}};
   CrashReports crashes{1};
