Answer all requests before a planned stop ends

Cause: a stopping daemon serves on while callers may hold its address, took each request in that time, whatever time the request needs, and ended with requests unanswered.

Change: LimitRequests() sets a time, 0.8 s before the end of the drain timeout, by which all requests are answered, running and new ones. Those without an answer then get 504, or a merge with enough parts, and those that reached no searcher 503. A request that by the 0.99 quantile of its route's latencies is unlikely to be answered by then is refused at once (pimentomoor_run_refused_total{reason="stopping"}).

--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,8 @@
   Duration expected{};  // smoothed latency
 };
 
+class RequestRun;
+
 /// State that all requests of a daemon share.
 struct SharedRequestContext {
   EventLoop& loop;
@@ -66,8 +69,13 @@
   std::uint64_t parts_sent = 0;                            // exchanges sent to upstreams
   std::size_t next_tie_break = 0;                          // counter that rotates between upstreams of equal score
   RequestTracer* tracer = nullptr;                         // nothing is recorded when null
+  TimePoint answer_by = TimePoint::max();                  // all requests are answered before; set by a planned stop
+  std::set<RequestRun*> running;                           // requests that are neither answered nor abandoned
 };
 
+/// Sets the time by which all requests are answered, those that run and those that arrive from now on.
+void LimitRequests(SharedRequestContext& context, TimePoint answer_by);
+
 class RequestRun final : public ExchangeHandler, public std::enable_shared_from_this<RequestRun> {
  public:
   RequestRun(SharedRequestContext& context, std::shared_ptr<CallerExchange> caller,
@@ -75,6 +83,8 @@
   ~RequestRun() override;
 
   void Start();
+  /// Applies a changed SharedRequestContext::answer_by.
+  void ApplyAnswerBy();
 
  private:
   /// One shard of a gathered request, or the whole of any other request.
@@ -98,6 +108,10 @@
 
   /// Whether the answer is merged from several shards.
   [[nodiscard]] bool is_gather() const { return !route_.shards.empty(); }
+  /// Whether an answer is likely before SharedRequestContext::answer_by.
+  [[nodiscard]] bool FitsBeforeStop() const;
+  /// Takes the request out of SharedRequestContext::running and stops its timer.
+  void MarkFinished();
   /// When upstreams stop work on a part that is sent now.
   [[nodiscard]] TimePoint PartDeadline() const;
   /// Least number of parts of a successful answer.
--- a/src/libgateway/request_answer.cpp
+++ b/src/libgateway/request_answer.cpp
@@ -18,8 +18,7 @@
 }  // namespace
 
 void RequestRun::Respond(const OutgoingResponse& response, const char* outcome) {
-  finished_ = true;
-  context_.loop.Cancel(timer_);
+  MarkFinished();
   context_.metrics.Count("pimentomoor_run_answers_total", 1, outcome);
   caller_->Respond(response);
   RecordTrace(response.status, outcome);
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -21,6 +21,8 @@
 // work on the part soon after it.
 constexpr double kPartDeadlineShare = 1.5;
 constexpr std::size_t kMaxLostExchanges = 6;  // lost exchanges of a request after which no part is sent again
+// Quantile of the latencies of a route that a request is expected to take at most when the daemon stops.
+constexpr double kStopLatencyQuantile = 0.99;
 // Least time that a part gets, and least time between the objective and its deadline.
 constexpr Duration kMinPartTime = std::chrono::milliseconds(60);
 
@@ -74,15 +76,36 @@
                    Share(context_.loop_lag.value(), context_.settings.lag_factor),
                Share(route_.objective, context_.settings.max_margin_share));
   objective_deadline_ = caller_->received_at + route_.objective - margin;
-  final_deadline_ = caller_->received_at + std::max(limit - context_.settings.timeout_margin, limit / 2);
+  final_deadline_ = std::min(caller_->received_at + std::max(limit - context_.settings.timeout_margin, limit / 2),
+                             context_.answer_by);
   if (latency_.expected == Duration::zero()) {
     latency_.expected = Share(route_.objective, kInitialLatencyShare);
   }
 }
 
-RequestRun::~RequestRun() { context_.loop.Cancel(timer_); }
+RequestRun::~RequestRun() { MarkFinished(); }
+
+void LimitRequests(SharedRequestContext& context, TimePoint answer_by) {
+  context.answer_by = answer_by;
+  // Copied, because a request whose time is up leaves the set.
+  for (RequestRun* run : std::vector<RequestRun*>(context.running.begin(), context.running.end())) {
+    run->ApplyAnswerBy();
+  }
+}
+
+void RequestRun::ApplyAnswerBy() {
+  final_deadline_ = std::min(final_deadline_, context_.answer_by);
+  ScheduleTimer();
+}
+
+void RequestRun::MarkFinished() {
+  finished_ = true;
+  context_.running.erase(this);
+  context_.loop.Cancel(timer_);
+}
 
 void RequestRun::Start() {
+  context_.running.insert(this);
   // This callback keeps the object alive until the caller is answered or leaves.
   caller_->on_disconnect = [self = shared_from_this()] { self->OnCallerGone(); };
   if (is_gather()) {
@@ -101,6 +124,11 @@
     Refuse();
     return;
   }
+  if (!FitsBeforeStop()) {
+    context_.metrics.Count("pimentomoor_run_refused_total", 1, "reason=\"stopping\"");
+    Refuse();
+    return;
+  }
   if (ServableParts() < NeededParts()) {
     context_.metrics.Count("pimentomoor_run_refused_total", 1, "reason=\"no searcher\"");
     Refuse();
@@ -114,6 +142,14 @@
   ScheduleTimer();
 }
 
+bool RequestRun::FitsBeforeStop() const {
+  if (context_.answer_by == TimePoint::max()) {
+    return true;
+  }
+  const Duration expected = Quantile(latency_.window, kStopLatencyQuantile).value_or(route_.objective);
+  return context_.loop.Now() + expected <= context_.answer_by;
+}
+
 std::size_t RequestRun::NeededParts() const {
   if (!is_gather()) {
     return 1;
@@ -413,8 +449,7 @@
 }
 
 void RequestRun::OnCallerGone() {
-  finished_ = true;
-  context_.loop.Cancel(timer_);
+  MarkFinished();
   RecordTrace(0, "outcome=\"caller left\"");
   CancelRunning(route_.idempotent ? context_.loop.Now() + context_.settings.cancel_after : TimePoint::max());
 }
--- a/src/testsuite/bench_gateway.cpp
+++ b/src/testsuite/bench_gateway.cpp
@@ -1,5 +1,5 @@
 // Measures what the gateway spends on each part of a query and on a forwarded request, and what the exchange of
-// member lists costs a daemon. The searchers answer fixed bytes without reading the request, so their share of the
+// member lists costs a daemon. The searchers answer fixed records with the id of the request, so their share of the
 // CPU time is two system calls for each part.
 #include <algorithm>
 #include <ctime>
--- a/src/testsuite/request_harness.h
+++ b/src/testsuite/request_harness.h
@@ -28,7 +28,10 @@
                   "\r\nContent-Length: 0\r\n\r\n");
   }
   void OnData(std::string_view bytes) override { received.append(bytes); }
-  void OnEnd(StreamEnd /*end*/) override { stream.reset(); }
+  void OnEnd(StreamEnd end) override {
+    connect_failed = end == StreamEnd::kConnectFailed;
+    stream.reset();
+  }
   void Leave() { stream.reset(); }
   [[nodiscard]] bool answered() const { return received.find("\r\n\r\n") != std::string::npos; }
   [[nodiscard]] int status() const { return answered() ? std::stoi(received.substr(std::strlen("HTTP/1.1 "))) : 0; }
@@ -37,6 +40,7 @@
   const TimePoint sent_at;
   std::unique_ptr<TcpStream> stream;
   std::string received;
+  bool connect_failed = false;
 };
 
 /// The request path of a gateway, with a routing table of one route.
