Test that a response cut within its head is no answer

Cause: operators of similar systems report that an upstream which stopped within its answer's head and closed made callers get a 200 with an empty or short body, framed as whole.

Change: tests only. Http1Message.ResponseThatEndsTooEarlyIsNeverWhole cuts five responses at each byte; RequestFaults.ResponseCutInItsHeadIsNoAnswer sends a head cut at each byte through the request path and expects 502 for an unsafe request that is sent once. The scripted searcher ends the connection after timed responses too.

--- a/src/libgateway/request_faults_test.cpp
+++ b/src/libgateway/request_faults_test.cpp
@@ -1,6 +1,7 @@
 // Tests of one request whose caller leaves, whose upstreams reset connections, or that no upstream can take, with a
 // caller and upstreams (searchers) on loopback.
 #include <algorithm>
+#include <cstring>
 
 #include "pimentomoor/upstream_subset.h"
 #include "property.h"
@@ -130,6 +131,24 @@
   }
 }
 
+// Guards against passing on a response that was cut within its head as a success with an empty or short body.
+TEST(RequestFaults, ResponseCutInItsHeadIsNoAnswer) {
+  const std::string response = IdentifiedResponse(kCallerRequestId, "body");
+  const std::size_t head_bytes = response.find("\r\n\r\n") + std::strlen("\r\n\r\n");
+  SearcherScript script{.after_response = SearcherScript::AfterResponse::kClose};
+  for (std::size_t cut = 1; cut < head_bytes; ++cut) {
+    script.first_responses.push_back({.response = response.substr(0, cut)});
+  }
+  harness.SetRoute(SingleRoute(false));
+  auto& searcher = harness.AddSearcher("s", script);
+  for (std::size_t cut = 1; cut < head_bytes; ++cut) {
+    auto& unsafe = harness.Call("POST");
+    CHECK(harness.WaitForAnswer(unsafe));
+    CHECK_EQUAL(502, unsafe.status());
+    CHECK_EQUAL(cut, searcher.arrivals());
+  }
+}
+
 // Guards against refusals that come late, lack Retry-After, or are for a request that an upstream has received.
 TEST(RequestFaults, RefusalComesAtOnceAndReachesNoSearcher) {
   harness.SetRoute(SingleRoute(false));
--- a/src/libnet/http1_message_test.cpp
+++ b/src/libnet/http1_message_test.cpp
@@ -116,6 +116,23 @@
   }
 }
 
+// Guards against a response that is taken for whole although its connection ended within its head, its body of known
+// length or its chunks.
+TEST(Http1Message, ResponseThatEndsTooEarlyIsNeverWhole) {
+  const std::string fields = "X-Stamp: s\r\nX-Request-Id: i\r\n";
+  for (const std::string& response :
+       {"HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + fields + "\r\n", "HTTP/1.1 204 No Content\r\n" + fields + "\r\n",
+        "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + fields + "Connection: close\r\n\r\n"}) {
+    for (std::size_t cut = 0; cut < response.size(); ++cut) {
+      CHECK_TEXT(ReadResponse(std::string_view(response).substr(0, cut)).end != ReadStatus::kComplete,
+                 response.substr(0, cut).c_str());
+    }
+    CHECK_TEXT(ReadResponse(response).end == ReadStatus::kComplete, response.c_str());
+  }
+}
+
 // Guards against a message that is read differently when it arrives in pieces, and against lost bytes of the message
 // that follows it.
 TEST(Http1Message, DeliveryInPiecesEqualsWholeDelivery) {
--- a/src/testsuite/scripted_searcher.h
+++ b/src/testsuite/scripted_searcher.h
@@ -96,19 +96,21 @@
 
   void Respond(Connection& connection) {
     const std::size_t index = arrivals_++;
+    Duration sent_after{};
     if (index < script_.first_responses.size()) {
       const TimedResponse& timed = script_.first_responses[index];
       const auto send = [this, &connection, &timed] { Send(connection, timed.response); };
+      sent_after = timed.delay;
       loop_.CallAfter(timed.delay, send);
       if (timed.resend) {
         loop_.CallAfter(timed.delay + *timed.resend, send);
       }
-      return;
+    } else {
+      Send(connection, script_.response);
     }
-    Send(connection, script_.response);
     if (script_.after_response != SearcherScript::AfterResponse::kKeepOpen) {
       // The delay lets the gateway read the response before the end of the connection.
-      loop_.CallAfter(std::chrono::milliseconds(20), [&connection] { connection.stream.reset(); });
+      loop_.CallAfter(sent_after + std::chrono::milliseconds(20), [&connection] { connection.stream.reset(); });
     }
   }
 
