--- a/src/libnet/http1_message_test.cpp
+++ b/src/libnet/http1_message_test.cpp
@@ -110,9 +110,9 @@
     const std::string chunked = "Transfer-Encoding: chunked\r\n";
     CHECK(ReadRequest(MakeRequest(chunked, start + "a")).status == ReadStatus::kNeedMore);
     CHECK(ReadRequest(MakeRequest(chunked, start + long_text)).status == ReadStatus::kHeadTooLarge);
-    const std::string response_head = "HTTP/1.1 200 OK\r\n" + chunked + "\r\n";
-    CHECK(ReadResponse(response_head + start + "a").status == ReadStatus::kNeedMore);
-    CHECK(ReadResponse(response_head + start + long_text).status == ReadStatus::kHeadTooLarge);
+    const std::string response = std::string("HTTP/1.1 200 OK\r\n").append(chunked).append("\r\n").append(start);
+    CHECK(ReadResponse(response + "a").status == ReadStatus::kNeedMore);
+    CHECK(ReadResponse(response + long_text).status == ReadStatus::kHeadTooLarge);
   }
 }
 
--- a/src/testsuite/endless_server.h
+++ b/src/testsuite/endless_server.h
@@ -68,7 +68,7 @@
 
   static std::string Start(Kind kind) {
     const std::string head = std::string("HTTP/1.1 200 OK\r\n") + platform_names::kStampField + ": s\r\n";
-    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
     switch (kind) {
       case Kind::kHead:
         return "HTTP/1.1 200 ";
