Count a request as running until its answer is sent

Cause: a request counted as done when its answer was handed to TcpStream::Write(), which keeps what the kernel doesn't take. The process ended when no request was running. Its connection counted as idle meanwhile, and was closed with the listener and by the idle timeout.

Ruled out: the close of the listener (the requests had been answered by then; the log says unfinished=0).

Change: a connection is in the phase kSending until the kernel has taken the last byte; the request counts as running and the connection isn't idle. A caller that reads nothing for the idle timeout is given up and counted. The kernel keeps little unsent of answers above 64 KB, so that reading shows as progress; their bodies aren't copied behind the head.

--- a/src/include/pimentomoor/caller_server.h
+++ b/src/include/pimentomoor/caller_server.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "pimentomoor/buffer_budget.h"
 #include "pimentomoor/clock.h"
 #include "pimentomoor/event_loop.h"
 #include "pimentomoor/http1_message.h"
@@ -41,7 +42,7 @@
 
   /// Sends the answer. Does nothing when the request is answered already or the caller has disconnected.
   void Respond(const OutgoingResponse& response);
-  /// Whether the request was answered or the caller has disconnected.
+  /// Whether the request was answered, even if parts of the answer are not sent yet, or the caller has disconnected.
   [[nodiscard]] bool finished() const { return connection_ == nullptr; }
 
  private:
@@ -55,8 +56,8 @@
   std::string address;  // "IP:port"
   MessageLimits limits;
   Duration head_timeout = std::chrono::seconds(10);  // for receiving a request head
-  // Limit for a connection without a request and for a caller that does not read its answer. Added to head_timeout
-  // for a request whose head is complete and whose body is not.
+  // Limit for a connection without a request, and for the time in which a caller reads nothing of its answer. Added
+  // to head_timeout for a request whose head is complete and whose body is not.
   Duration idle_timeout = std::chrono::seconds(30);
   std::size_t max_connections = 3'000;  // further connections are closed when accepted
 
@@ -67,8 +68,9 @@
 class CallerServer {
  public:
   /// Binds and listens. Throws std::system_error with the address when that fails. `names` must outlive the server.
+  /// With a `budget`, unsent answers count in it.
   CallerServer(EventLoop& loop, Metrics& metrics, const FieldNames& names, CallerServerOptions options,
-               CallerHandler handler);
+               CallerHandler handler, BufferBudget* budget = nullptr);
   ~CallerServer();
   CallerServer(const CallerServer&) = delete;
   CallerServer& operator=(const CallerServer&) = delete;
@@ -78,10 +80,11 @@
 
   /// Closes each connection after its next answer from now on.
   void CloseAfterAnswers() { close_after_answers_ = true; }
-  /// Closes the listening socket and the idle connections. Running requests continue.
+  /// Closes the listening socket and the idle connections. Running requests continue until their answers are sent.
   void StopAccepting();
 
   [[nodiscard]] std::size_t open_connections() const { return connections_.size(); }
+  /// Requests whose answer is not completely sent.
   [[nodiscard]] std::size_t running_requests() const { return running_requests_; }
   [[nodiscard]] std::string address() const { return listener_->address(); }
 
@@ -96,6 +99,7 @@
   const FieldNames& names_;
   CallerServerOptions options_;
   CallerHandler handler_;
+  BufferBudget* budget_;                   // null: no bound on the sum
   std::unique_ptr<TcpListener> listener_;  // null after StopAccepting()
   std::unordered_map<CallerConnection*, std::unique_ptr<CallerConnection>> connections_;
   std::size_t running_requests_ = 0;
--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -83,7 +83,7 @@
   const PlatformCodec& codec_;
   const std::uint64_t incarnation_;
   Metrics metrics_;
-  ReceiveBudget receive_budget_;
+  BufferBudget buffer_budget_;
   UpstreamSet upstreams_;
   CrashReports crashes_;
   RequestTracer tracer_;
--- a/src/include/pimentomoor/tcp_stream.h
+++ b/src/include/pimentomoor/tcp_stream.h
@@ -67,8 +67,13 @@
   /// Whether connecting failed because nothing listens at the address. False when the connection was accepted and
   /// then reset, or when the server did not reply.
   [[nodiscard]] bool connect_refused() const { return connect_refused_; }
+  /// Limits the bytes that the kernel takes before it sends them, so that unsent_bytes() follows what the peer receives.
+  void LimitKernelBuffer();
+
   /// Number of buffered bytes that the kernel has not taken.
-  [[nodiscard]] std::size_t unsent_bytes() const { return unsent_.size(); }
+  [[nodiscard]] std::size_t unsent_bytes() const { return unsent_.size() - unsent_begin_; }
+  /// IP address of the peer, without the port; empty when it is unknown.
+  [[nodiscard]] std::string peer_host() const;
 
  private:
   void OnReadable() override;
@@ -81,7 +86,8 @@
   bool connected_ = true;
   bool connect_refused_ = false;
   bool shutdown_requested_ = false;  // ShutdownWrite() was called
-  std::string unsent_;               // written bytes that the kernel has not taken, in order
+  std::string unsent_;               // written bytes, in order; those from unsent_begin_ on are not sent
+  std::size_t unsent_begin_ = 0;
 };
 
 /// Listens for TCP connections and accepts them.
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -10,10 +10,10 @@
 #include <string>
 #include <vector>
 
+#include "pimentomoor/buffer_budget.h"
 #include "pimentomoor/event_loop.h"
 #include "pimentomoor/http1_message.h"
 #include "pimentomoor/metrics.h"
-#include "pimentomoor/receive_budget.h"
 #include "pimentomoor/shared_budget.h"
 #include "pimentomoor/upstream_score.h"
 
@@ -98,8 +98,8 @@
   EventLoop& loop;
   Metrics& metrics;
   const FieldNames& names;
-  ReceiveBudget& receive_budget;  // bound on the unfinished answers of all upstreams
-  std::string failure_domain;     // failure domain of this daemon
+  BufferBudget& buffer_budget;  // bound on the unfinished answers of all upstreams
+  std::string failure_domain;   // failure domain of this daemon
   // Called when an upstream crashed while it ran the request.
   std::function<void(const UpstreamRequest&)> on_crash = [](const UpstreamRequest&) {};
   MessageLimits response_limits{.head_bytes = 64 * 1024, .body_bytes = std::uint64_t{8} * 1024 * 1024};
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -41,11 +41,11 @@
       settings_(std::move(settings)),
       codec_(codec),
       incarnation_(RandomId()),
-      receive_budget_(loop),
+      buffer_budget_(loop),
       upstreams_({.loop = loop,
                   .metrics = metrics_,
                   .names = codec.field_names(),
-                  .receive_budget = receive_budget_,
+                  .buffer_budget = buffer_budget_,
                   .failure_domain = settings_.failure_domain},
                  settings_.retry, settings_.cold_upstreams),
       crashes_(incarnation_),
@@ -67,7 +67,8 @@
     return std::make_unique<CallerServer>(
         loop_, metrics_, codec_.field_names(),
         CallerServerOptions{.address = address, .limits = {.body_bytes = body_bytes}},
-        [this, handler](const std::shared_ptr<CallerExchange>& exchange) { (this->*handler)(exchange); });
+        [this, handler](const std::shared_ptr<CallerExchange>& exchange) { (this->*handler)(exchange); },
+        &buffer_budget_);
   };
   caller_server_ = serve(settings_.caller_address, MessageLimits().body_bytes, &Gateway::HandleCaller);
   ready_server_ = serve(settings_.ready_address, kMaxSmallBodyBytes, &Gateway::HandleReady);
@@ -254,9 +255,13 @@
   auto entry = codec_.ParseUpstream(record);
   if (!entry) {
     metrics_.Count("pimentomoor_upstream_entries_unusable_total");
-    OnUpstreamDeleted(record.name);
+    if (unusable_entries_.insert(record.name).second) {
+      LogWarn("upstream entry unusable", {{"name", record.name}, {"bytes", std::to_string(record.payload.size())}});
+    }
+    RemoveUpstreamLater(record.name);
     return;
   }
+  unusable_entries_.erase(record.name);
   if (const auto removal = removal_timers_.find(record.name); removal != removal_timers_.end()) {
     loop_.Cancel(removal->second);
     removal_timers_.erase(removal);
--- a/src/libgateway/request_run_test.cpp
+++ b/src/libgateway/request_run_test.cpp
@@ -24,11 +24,11 @@
   EventLoop loop_{clock_};
   Metrics metrics_;
   std::unique_ptr<PlatformCodec> codec_ = MakePlatformCodec();
-  ReceiveBudget receive_budget_{loop_};
+  BufferBudget buffer_budget_{loop_};
   UpstreamSet upstreams_{{.loop = loop_,
                           .metrics = metrics_,
                           .names = codec_->field_names(),
-                          .receive_budget = receive_budget_,
+                          .buffer_budget = buffer_budget_,
                           .failure_domain = "a"},
                          {},
                          {}};
--- a/src/libgateway/upstream_connection.cpp
+++ b/src/libgateway/upstream_connection.cpp
@@ -38,7 +38,7 @@
 UpstreamConnection::UpstreamConnection(UpstreamLink& link)
     : link_(link),
       opened_at_(link.context_.loop.Now()),
-      held_bytes_(link.context_.receive_budget, link.entry().id, [this] { OnResponseRevoked(); }) {}
+      buffered_bytes_(link.context_.buffer_budget, link.entry().id, [this] { OnResponseRevoked(); }) {}
 
 bool UpstreamConnection::Open() {
   stream_ = TcpStream::Connect(link_.context_.loop, link_.entry().address, *this, kTcpOptions);
@@ -82,7 +82,7 @@
     const ReadStatus status = reader_->Read(bytes);
     if (status == ReadStatus::kNeedMore) {
       unparsed_.assign(bytes);
-      held_bytes_.Set(reader_->held_bytes() + unparsed_.capacity());
+      buffered_bytes_.Set(reader_->held_bytes() + unparsed_.capacity());
       return;
     }
     if (status != ReadStatus::kComplete) {
@@ -142,7 +142,7 @@
   running_exchange_ = nullptr;
   reader_.reset();
   unparsed_ = {};
-  held_bytes_.Set(0);
+  buffered_bytes_.Set(0);
   UpstreamLink& link = link_;
   const auto keep_link = link.shared_from_this();
   reused_ = true;
--- a/src/libgateway/upstream_connection.h
+++ b/src/libgateway/upstream_connection.h
@@ -25,7 +25,7 @@
   void StartExchange(UpstreamExchangePtr exchange);
   void Close() {
     stream_.reset();
-    held_bytes_.Set(0);
+    buffered_bytes_.Set(0);
   }
 
   [[nodiscard]] bool connected() const { return stream_ != nullptr && stream_->connected(); }
@@ -54,8 +54,8 @@
   std::string unparsed_;                  // received response bytes that are not parsed yet
   TimePoint opened_at_;
   TimePoint reusable_until_ = TimePoint::max();
-  ReceivedBytes held_bytes_;  // of the response that is being read
-  bool reused_ = false;       // an exchange has ended on this connection; its response carried the id of its request
+  BufferedBytes buffered_bytes_;  // of the response that is being read
+  bool reused_ = false;  // an exchange has ended on this connection; its response carried the id of its request
   unsigned stray_responses_ = 0;  // responses to earlier requests that came during the running one
   // Requests that this connection has carried and that may be sent again, because their callers still wait.
   std::vector<std::weak_ptr<const UpstreamRequest>> carried_requests_;
--- a/src/libnet/caller_server.cpp
+++ b/src/libnet/caller_server.cpp
@@ -18,6 +18,9 @@
 // beyond it, because the server could not notice that the caller disconnects if it stopped reading instead.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{256} * 1024;
 
+// Larger bodies are written after the head and not copied behind it.
+constexpr std::size_t kMaxJoinedBodyBytes = std::size_t{64} * 1024;
+
 std::string FormatHead(const OutgoingResponse& response, bool close, bool with_length) {
   std::string head = "HTTP/1.1 " + std::to_string(response.status) + " ";
   head.append(ReasonPhrase(response.status)).append("\r\n").append(response.fields);
@@ -36,7 +39,10 @@
         stream_(std::make_unique<TcpStream>(server.loop_, fd, *this)),
         phase_since_(server.loop_.Now()) {}
 
-  ~CallerConnection() override { AbandonExchange(); }
+  ~CallerConnection() override {
+    AbandonExchange();
+    EndSending();
+  }
 
   void Answer(const OutgoingResponse& response);
   /// Closes the connection when the timeout of its current phase has passed.
@@ -45,7 +51,9 @@
   /// Closes the connection at once; the object stays valid until it is destroyed.
   void Close() {
     stream_.reset();
+    unsent_buffer_.reset();
     AbandonExchange();
+    EndSending();
     phase_ = Phase::kLingering;
   }
 
@@ -54,11 +62,19 @@
     kIdle,       // no byte of the next request has arrived
     kReading,    // part of a request has arrived
     kRunning,    // the handler has a request and has not answered it
-    kLingering,  // the last answer was written; received bytes are discarded
+    kSending,    // the answer is written and not completely sent
+    kLingering,  // the last answer was sent; received bytes are discarded
   };
 
   void OnData(std::string_view bytes) override;
   void OnEnd(StreamEnd end) override;
+  void OnDrained() override;
+  /// Goes on with the next request, or with the end of the connection, when the answer is sent.
+  void OnAnswerSent();
+  /// Counts the bytes of an unsent answer in the budget.
+  void BufferUnsent();
+  /// Drops the connection with the rest of an unsent answer.
+  void GiveUpAnswer(const char* reason);
   void ReadRequests(std::string_view bytes);
   void StartRequest();
   void Refuse(int status);
@@ -68,6 +84,11 @@
     phase_since_ = server_.loop_.Now();
   }
   void AbandonExchange();
+  /// Ends the phase kSending.
+  void EndSending() {
+    server_.running_requests_ -= phase_ == Phase::kSending ? 1 : 0;
+    unsent_buffer_.reset();
+  }
 
   CallerServer& server_;
   std::unique_ptr<TcpStream> stream_;
@@ -76,7 +97,9 @@
   std::string unparsed_;  // received bytes that are not parsed yet
   std::optional<RequestReader> reader_;
   std::shared_ptr<CallerExchange> running_exchange_;  // not null exactly in kRunning
-  bool keep_alive_ = true;                            // the running request allows further ones on the connection
+  bool keep_alive_ = true;                            // further requests may follow the running one
+  std::size_t unsent_at_check_ = 0;                   // unsent bytes when the timeouts were checked last, in kSending
+  std::optional<BufferedBytes> unsent_buffer_;        // set only in kSending
   bool is_head_request_ = false;                      // the running request has the method HEAD
   bool reading_requests_ = false;                     // ReadRequests() is being executed
   bool continue_sent_ = false;                        // "100 Continue" was sent for the current request
@@ -93,7 +116,7 @@
   if (phase_ == Phase::kLingering) {
     return;
   }
-  if (phase_ == Phase::kRunning) {
+  if (phase_ == Phase::kRunning || phase_ == Phase::kSending) {
     unparsed_.append(bytes);
     if (unparsed_.size() > kMaxPipelinedBytes) {
       server_.metrics_.Count("pimentomoor_caller_pipeline_overflows_total");
@@ -162,15 +185,51 @@
   running_exchange_->connection_ = nullptr;
   running_exchange_->on_disconnect = nullptr;
   running_exchange_.reset();
-  --server_.running_requests_;
-  const bool close = !keep_alive_ || server_.close_after_answers_;
+  keep_alive_ = keep_alive_ && !server_.close_after_answers_;
   const bool has_no_body = response.status == 204 || response.status == 304;
-  std::string message = FormatHead(response, close, !has_no_body);
-  if (!is_head_request_ && !has_no_body) {
-    message += response.body;
+  std::string message = FormatHead(response, !keep_alive_, !has_no_body);
+  SetPhase(Phase::kSending);
+  if (is_head_request_ || has_no_body) {
+    stream_->Write(message);
+  } else if (response.body.size() <= kMaxJoinedBodyBytes) {
+    stream_->Write(message += response.body);
+  } else {
+    stream_->LimitKernelBuffer();
+    stream_->Write(message);
+    stream_->Write(response.body);
+  }
+  if (stream_->unsent_bytes() == 0) {
+    OnAnswerSent();
+    return;
+  }
+  unsent_at_check_ = stream_->unsent_bytes();
+  BufferUnsent();
+}
+
+void CallerConnection::BufferUnsent() {
+  if (server_.budget_ == nullptr) {
+    return;
   }
-  stream_->Write(message);
-  if (close) {
+  if (!unsent_buffer_) {
+    unsent_buffer_.emplace(*server_.budget_, stream_->peer_host(), [this] { GiveUpAnswer("memory"); });
+  }
+  unsent_buffer_->Set(stream_->unsent_bytes());
+}
+
+void CallerConnection::GiveUpAnswer(const char* reason) {
+  server_.metrics_.Count("pimentomoor_caller_answers_given_up_total", 1, "reason=\"" + std::string(reason) + "\"");
+  server_.Remove(this);
+}
+
+void CallerConnection::OnDrained() {
+  if (phase_ == Phase::kSending) {
+    OnAnswerSent();
+  }
+}
+
+void CallerConnection::OnAnswerSent() {
+  EndSending();
+  if (!keep_alive_) {
     Linger();
     return;
   }
@@ -211,8 +270,17 @@
       break;
     case Phase::kRunning:
       break;
+    case Phase::kSending:
+      if (stream_->unsent_bytes() != unsent_at_check_) {
+        unsent_at_check_ = stream_->unsent_bytes();
+        phase_since_ = now;
+        BufferUnsent();
+      } else if (waited >= server_.options_.idle_timeout) {
+        GiveUpAnswer("not read");
+      }
+      break;
     case Phase::kLingering:
-      // A caller that does not read its answer gets as much time as an idle one.
+      // A refusal may still be unsent. Its caller gets as much time to read it as an idle one.
       if (waited >=
           (stream_->unsent_bytes() == 0 ? kLingerTime : std::max(kLingerTime, server_.options_.idle_timeout))) {
         server_.Remove(this);
@@ -237,12 +305,13 @@
 }
 
 CallerServer::CallerServer(EventLoop& loop, Metrics& metrics, const FieldNames& names, CallerServerOptions options,
-                           CallerHandler handler)
+                           CallerHandler handler, BufferBudget* budget)
     : loop_(loop),
       metrics_(metrics),
       names_(names),
       options_(std::move(options)),
       handler_(std::move(handler)),
+      budget_(budget),
       listener_(std::make_unique<TcpListener>(loop, options_.address, [this](int fd) { Accept(fd); })) {
   CheckConnectionTimeouts();
 }
--- a/src/libnet/tcp_stream.cpp
+++ b/src/libnet/tcp_stream.cpp
@@ -17,6 +17,7 @@
 
 constexpr int kListenBacklog = 1024;
 constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
+constexpr int kUnsentInKernelBytes = 128 * 1024;
 constexpr int kKeepaliveProbes = 2;  // unanswered probes after which the kernel ends the connection
 constexpr int kKeepaliveIntervalS = 1;
 
@@ -85,7 +86,7 @@
 }
 
 void TcpStream::Write(std::string_view bytes) {
-  if (connected_ && unsent_.empty()) {
+  if (connected_ && unsent_bytes() == 0) {
     const ssize_t sent = send(io_.fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (sent >= 0) {
       bytes.remove_prefix(static_cast<std::size_t>(sent));
@@ -99,9 +100,11 @@
   }
 }
 
+void TcpStream::LimitKernelBuffer() { SetOption(io_.fd(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, kUnsentInKernelBytes); }
+
 void TcpStream::ShutdownWrite() {
   shutdown_requested_ = true;
-  if (unsent_.empty() && connected_) {
+  if (unsent_bytes() == 0 && connected_) {
     shutdown(io_.fd(), SHUT_WR);
   }
 }
@@ -137,28 +140,40 @@
   }
   connected_ = true;
   io_.StartReading();
-  if (!unsent_.empty()) {
+  if (unsent_bytes() > 0) {
     io_.NotifyWritable();
   }
   handler_.OnConnected();
 }
 
 void TcpStream::FlushUnsent() {
-  const ssize_t sent = send(io_.fd(), unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
+  const ssize_t sent = send(io_.fd(), unsent_.data() + unsent_begin_, unsent_bytes(), MSG_NOSIGNAL);
   if (sent < 0 && errno != EAGAIN && errno != EINTR) {
     return;  // OnReadable() reports the end of the connection
   }
-  unsent_.erase(0, sent > 0 ? static_cast<std::size_t>(sent) : 0);
-  if (!unsent_.empty()) {
+  unsent_begin_ += sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  if (unsent_bytes() > 0) {
     io_.NotifyWritable();
     return;
   }
+  unsent_ = {};
+  unsent_begin_ = 0;
   if (shutdown_requested_) {
     shutdown(io_.fd(), SHUT_WR);
   }
   handler_.OnDrained();
 }
 
+std::string TcpStream::peer_host() const {
+  sockaddr_in peer{};
+  socklen_t size = sizeof(peer);
+  if (getpeername(io_.fd(), reinterpret_cast<sockaddr*>(&peer), &size) != 0) {
+    return "";
+  }
+  const std::string address = FormatSocketAddress(peer);
+  return address.substr(0, address.rfind(':'));
+}
+
 TcpListener::TcpListener(EventLoop& loop, const std::string& address, AcceptCallback on_accept)
     : on_accept_(std::move(on_accept)), io_(loop, OpenListener(address), *this) {
   io_.StartReading();
--- a/src/testsuite/bench_gateway.cpp
+++ b/src/testsuite/bench_gateway.cpp
@@ -26,7 +26,7 @@
         upstreams_({.loop = loop_,
                     .metrics = metrics_,
                     .names = codec_->field_names(),
-                    .receive_budget = receive_budget_,
+                    .buffer_budget = buffer_budget_,
                     .failure_domain = "a"},
                    {}, {}),
         crashes_(1),
@@ -90,7 +90,7 @@
   Metrics metrics_;
   std::unique_ptr<PlatformCodec> codec_;
   std::vector<std::unique_ptr<FixedResponseSearcher>> searchers_;
-  ReceiveBudget receive_budget_{loop_};
+  BufferBudget buffer_budget_{loop_};
   UpstreamSet upstreams_;
   CrashReports crashes_;
   SharedRequestContext request_context_;
--- a/src/testsuite/request_harness.h
+++ b/src/testsuite/request_harness.h
@@ -109,11 +109,11 @@
   EventLoop loop{clock};
   Metrics metrics;
   std::unique_ptr<PlatformCodec> codec = MakePlatformCodec();
-  ReceiveBudget receive_budget{loop};
+  BufferBudget buffer_budget{loop};
   UpstreamSet upstreams{{.loop = loop,
                          .metrics = metrics,
                          .names = codec->field_names(),
-                         .receive_budget = receive_budget,
+                         .buffer_budget = buffer_budget,
                          .failure_domain = "a"},
                         kShortWindowBudget,
                         {}};
