Read each object of the store on its own

Cause: a page or a watch answer was parsed as one JSON text. RapidJSON refuses the whole text for a lone surrogate or a number out of range in any entry; the daemon dropped the answer with all other changes and asked for the same again.

Ruled out: a silent watch (pimentomoor_store_malformed_total rises with each answer) and the entry itself as a searcher (it has no address).

An entry that can't be read names no searcher, its name is logged once and counted, and the revision moves on. Objects without a readable name are left out and counted; when a page has none to continue after, the known records stay. An entry above 16 KB is kept without its content.

Test: ObjectCodec.UnreadableEntriesHideNoOthers and RecordFeed.UnreadableRecordHoldsNothingBack guard the fault; before the change a FormatError ends both.

--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "pimentomoor/caller_server.h"
@@ -54,6 +55,8 @@
   void OnRoutingRecord(const StoredRecord& record);
   void OnUpstreamRecord(const StoredRecord& record);
   void OnUpstreamDeleted(const std::string& name);
+  /// Removes an upstream whose entry is gone or unusable, unless a usable one comes back soon.
+  void RemoveUpstreamLater(const std::string& name);
   void OnOutagesChanged();
   /// Sends a heartbeat to peers after kAnnounceDelay unless one is scheduled already.
   void ScheduleAnnouncement();
@@ -106,7 +109,8 @@
   double load_parts_per_s_ = 0;                    // smoothed rate of parts sent to upstreams
   std::uint32_t reported_load_parts_per_s_ = 0;    // load_parts_per_s_ quantized for heartbeats
   TimerId announce_timer_ = 0;                     // 0 while no announcement is scheduled
-  std::map<std::string, TimerId> removal_timers_;  // by id, of upstreams whose entry was deleted
+  std::map<std::string, TimerId> removal_timers_;  // by id, of upstreams whose entry was deleted or is unusable
+  std::set<std::string> unusable_entries_;         // names of entries that name no upstream
   std::unique_ptr<CallerServer> caller_server_;
   std::unique_ptr<CallerServer> ready_server_;
   std::unique_ptr<CallerServer> directory_server_;
--- a/src/include/pimentomoor/platform_codec.h
+++ b/src/include/pimentomoor/platform_codec.h
@@ -40,6 +40,7 @@
   std::vector<StoredRecord> records;
   bool has_more = false;  // the next page begins after the name of the last record
   std::uint64_t store_revision = 0;
+  std::size_t unreadable_records = 0;  // left out, because they have no readable name or revision
 };
 
 /// A change of a record.
@@ -52,6 +53,7 @@
 struct RecordEvents {
   std::vector<RecordEvent> events;  // in the order of the changes
   std::uint64_t store_revision = 0;
+  std::size_t unreadable_records = 0;  // left out, because they have no readable name or revision
 };
 
 /// Thrown for a body or record that is not in the platform's format. what() names the record and the problem.
@@ -71,7 +73,8 @@
   [[nodiscard]] virtual std::string ListTarget(RecordKind kind, std::string_view after) const = 0;
   /// Request target that is answered as soon as the kind has changed since `revision`, or after `wait`.
   [[nodiscard]] virtual std::string WatchTarget(RecordKind kind, std::uint64_t revision, Duration wait) const = 0;
-  /// ParsePage, ParseEvents and ParseRoutingTable throw FormatError for malformed text.
+  /// ParsePage, ParseEvents and ParseRoutingTable throw FormatError for malformed text. A record whose content is
+  /// unreadable doesn't make a page or an answer malformed: its payload is the content as it stands.
   [[nodiscard]] virtual RecordPage ParsePage(std::string_view body) const = 0;
   [[nodiscard]] virtual RecordEvents ParseEvents(std::string_view body) const = 0;
 
--- a/src/include/pimentomoor/record_feed.h
+++ b/src/include/pimentomoor/record_feed.h
@@ -39,6 +39,9 @@
   // The target of 75,000 searchers takes 1,500 pages of 50 and about 15 MB.
   std::size_t max_list_pages = 4'000;
   std::size_t max_list_bytes = std::size_t{32} << 20U;  // bytes of names and payloads
+  // A larger entry of an upstream or an outage is kept without its payload, and so names no upstream. Valid ones have
+  // a few hundred bytes.
+  std::size_t max_entry_bytes = std::size_t{16} << 10U;
 
   friend bool operator==(const RecordFeedOptions&, const RecordFeedOptions&) = default;
 };
@@ -118,7 +121,9 @@
   [[nodiscard]] bool IsListTooLong() const;
   void StartWatch();
   void OnWatchAnswer(const std::optional<ResponseMessage>& response);
-  void Put(const StoredRecord& record);
+  /// Counts records that were left out because they have no readable name, and logs the first ones.
+  void CountUnreadable(std::size_t records);
+  void Put(StoredRecord record);
   void RemoveAllExcept(const std::vector<std::string>& names, std::uint64_t revision);
   void Remove(const std::string& name, std::uint64_t revision);
   void OnCallFailed();
@@ -149,6 +154,7 @@
   std::uint64_t first_page_revision_ = 0;
   bool list_pending_ = false;  // whether the next call lists; a list that failed starts over
   bool call_pending_ = false;  // whether a call is running or due
+  bool unreadable_logged_ = false;
   TimePoint last_watch_at_{};
   TimePoint store_unavailable_since_ = TimePoint::max();
   unsigned consecutive_failures_ = 0;
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -270,6 +270,11 @@
 }
 
 void Gateway::OnUpstreamDeleted(const std::string& name) {
+  unusable_entries_.erase(name);
+  RemoveUpstreamLater(name);
+}
+
+void Gateway::RemoveUpstreamLater(const std::string& name) {
   if (removal_timers_.contains(name)) {
     return;
   }
--- a/src/libgateway/object_codec_test.cpp
+++ b/src/libgateway/object_codec_test.cpp
@@ -49,6 +49,36 @@
   CHECK_FALSE(codec->ParseUpstream(page.records[0]).has_value());
 }
 
+// Guards against one unreadable entry that hides the others of its list or watch answer.
+TEST(ObjectCodec, UnreadableEntriesHideNoOthers) {
+  const std::string good = R"({"backend":"s","address":"127.0.0.1:1","zone":"a","slots":2,"state":"ready",)"
+                           R"("cold-left-ms":0,"seq":7})";
+  const auto object = [](const std::string& name, const std::string& spec) {
+    return R"({"meta":{"name":")" + name + R"(","rev":4},"spec":)" + spec + "}";
+  };
+  for (const std::string odd :
+       {R"({"version":"v2 \ud83d","state":"unknown"})", R"({"slots":1e400})", R"({"slots":-1e-400})", "\"\xff\xfe\"",
+        R"({"seq":123456789012345678901234567890})", R"({"state":"ready","state":"\udc00"})", "null", "7", "[]"}) {
+    const std::string items = object("a", good) + "," + object("odd", odd) + "," + object("b", good);
+    const RecordPage page = codec->ParsePage(R"({"items":[)" + items + R"(],"has-more":false,"store-revision":9})");
+    CHECK_EQUAL_TEXT(3U, page.records.size(), odd.c_str());
+    CHECK(page.store_revision == 9 && page.unreadable_records == 0);
+    CHECK_TEXT(codec->ParseUpstream(page.records[0]) && codec->ParseUpstream(page.records[2]), odd.c_str());
+    CHECK_TEXT(!codec->ParseUpstream(page.records[1]) && page.records[1].name == "odd", odd.c_str());
+    const RecordEvents answer =
+        codec->ParseEvents(R"({"events":[{"deleted":false,"object":)" + object("odd", odd) +
+                           R"(},{"deleted":true,"object":)" + object("a", good) + R"(}],"store-revision":9})");
+    CHECK_EQUAL_TEXT(2U, answer.events.size(), odd.c_str());
+    CHECK(answer.events[1].deleted && answer.events[1].record.name == "a");
+  }
+  // A record without a readable name or revision is left out.
+  for (const std::string meta : {R"("name":"\ud83d","rev":4)", R"("name":"odd","rev":1e400)"}) {
+    const RecordPage page = codec->ParsePage(R"({"items":[{"meta":{)" + meta + R"(},"spec":{}},)" +
+                                             object("b", good) + R"(],"store-revision":9})");
+    CHECK_TEXT(page.records.size() == 1 && page.records[0].name == "b" && page.unreadable_records == 1, meta.c_str());
+  }
+}
+
 // Guards against a field of a route that is dropped or read in the wrong unit.
 TEST(ObjectCodec, RoutingTableIsRead) {
   const RoutingTableSpec table = codec->ParseRoutingTable(
--- a/src/libgateway/record_feed.cpp
+++ b/src/libgateway/record_feed.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "pimentomoor/log.h"
 
@@ -82,6 +83,12 @@
     if (listed_records_.empty()) {
       first_page_revision_ = page.store_revision;
     }
+    CountUnreadable(page.unreadable_records);
+    if (page.has_more && page.records.empty() && page.unreadable_records > 0) {
+      // Without a name to continue after, the rest of the list stays unknown, and it must not pass for removed.
+      OnCallFailed();
+      return;
+    }
     const bool more = page.has_more && !page.records.empty();
     ++listed_pages_;
     for (const auto& record : page.records) {
@@ -109,9 +116,9 @@
   list_pending_ = false;
   store_revision_ = first_page_revision_;
   std::vector<std::string> names;
-  for (const auto& record : listed_records_) {
+  for (auto& record : listed_records_) {
     names.push_back(record.name);
-    Put(record);
+    Put(std::move(record));
   }
   listed_records_.clear();
   RemoveAllExcept(names, store_revision_);
@@ -123,11 +130,26 @@
   return listed_pages_ >= options_.max_list_pages || listed_bytes_ >= options_.max_list_bytes;
 }
 
-void RecordFeed::Put(const StoredRecord& record) {
+void RecordFeed::CountUnreadable(std::size_t records) {
+  if (records == 0) {
+    return;
+  }
+  metrics_.Count("pimentomoor_store_unreadable_records_total", records);
+  if (!std::exchange(unreadable_logged_, true)) {
+    LogWarn("store records unreadable",
+            {{"kind", std::string(ToString(kind_))}, {"records", std::to_string(records)}});
+  }
+}
+
+void RecordFeed::Put(StoredRecord record) {
   content_revision_ = std::max(content_revision_, record.revision);
+  if (kind_ != RecordKind::kRouting && record.payload.size() > options_.max_entry_bytes) {
+    metrics_.Count("pimentomoor_store_oversized_records_total");
+    record.payload.clear();
+  }
   auto& known = records_[record.name];
   if (known != record) {
-    known = record;
+    known = std::move(record);
     changed_at_ = loop_.Now();
     handlers_.on_put(known);
   }
@@ -186,6 +208,7 @@
   }
   try {
     const RecordEvents answer = codec_.ParseEvents(response->body);
+    CountUnreadable(answer.unreadable_records);
     for (const auto& event : answer.events) {
       if (event.deleted) {
         Remove(event.record.name, event.record.revision);
--- a/src/libgateway/record_feed_test.cpp
+++ b/src/libgateway/record_feed_test.cpp
@@ -251,6 +251,51 @@
   CHECK(send_delta(late_peer));
 }
 
+// Guards against an entry that can't be read and keeps a daemon from learning of all other changes.
+TEST(RecordFeed, UnreadableRecordHoldsNothingBack) {
+  const std::string odd_content = R"({"meta":{"name":"odd","rev":5},"spec":{"version":"\ud83d"}})";
+  const std::string odd_name = R"({"meta":{"name":"\ud83d","rev":6},"spec":{}})";
+  store.respond = [&](const std::string& target) -> std::string {
+    if (target.find('?') == target.npos) {
+      return Page(odd_name + "," + Object("a", 3) + "," + odd_content + "," + Object("b", 4), 10);
+    }
+    return target.find("watch=10&") != target.npos
+               ? Events(R"({"object":)" + odd_name + R"(},{"object":)" + odd_content + R"(},{"object":)" +
+                            Object("a", 11) + R"(,"deleted":true},{"object":)" + Object("c", 12) + "}",
+                        12)
+               : "";
+  };
+  feed.SetSource(RecordFeed::Source::kLongWatch);
+  CHECK(RunUntil([this] { return feed.store_revision() == 12; }));
+  STRCMP_EQUAL("b4 c12 odd5 ", KnownRecords().c_str());
+  CHECK_FALSE(feed.store_unavailable());
+  LONGS_EQUAL(2, metrics.counter("pimentomoor_store_unreadable_records_total"));
+}
+
+// Guards against records that pass for removed because the names of a whole page can't be read.
+TEST(RecordFeed, RecordsStayWhenNoNameOfAPageIsReadable) {
+  LoadRecords();
+  store.respond = [](const std::string& target) {
+    return target.find('?') == target.npos ? Page(R"({"meta":{"name":"\ud83d","rev":6},"spec":{}})", 20, true)
+                                           : "HTTP/1.1 410 Gone\r\n" + kEmptyBodyHead;
+  };
+  CHECK(RunUntil([this] { return feed.store_unavailable(); }));
+  STRCMP_EQUAL("a3 b4 ", KnownRecords().c_str());
+}
+
+// Guards against an entry of another writer that fills the memory of all daemons.
+TEST(RecordFeed, OversizedEntryIsKeptWithoutItsContent) {
+  store.respond = [](const std::string& target) {
+    const std::string large =
+        R"({"meta":{"name":"odd","rev":5},"spec":{"text":")" + std::string(900'000, 'x') + "\"}}";
+    return target.find('?') == target.npos ? Page(large + "," + Object("b", 6), 10) : "";
+  };
+  feed.SetSource(RecordFeed::Source::kLongWatch);
+  CHECK(RunUntil([this] { return feed.store_revision() == 10; }));
+  STRCMP_EQUAL("b6 odd5 ", KnownRecords().c_str());
+  CHECK(feed.records().at("odd").payload.empty());
+}
+
 // Guards against a next call that fails because the server has closed the kept connection, against endless repetition
 // of a call, against extra bytes that are taken for the next answer, and against a call that never ends.
 TEST(RecordFeed, ClientReplacesAClosedConnection) {
