--- a/src/include/pimentomoor/log.h
+++ b/src/include/pimentomoor/log.h
@@ -22,6 +22,9 @@
 /// Changes the log level. Accepts the same levels as InitLogging() and throws in the same cases.
 void SetLogLevel(std::string_view level);
 
+/// Formats an event and its fields as one line without its end, whatever the values hold.
+std::string FormatLogLine(std::string_view event, std::initializer_list<LogField> fields);
+
 void LogInfo(std::string_view event, std::initializer_list<LogField> fields = {});
 void LogWarn(std::string_view event, std::initializer_list<LogField> fields = {});
 void LogError(std::string_view event, std::initializer_list<LogField> fields = {});
--- a/src/libgateway/object_codec_test.cpp
+++ b/src/libgateway/object_codec_test.cpp
@@ -40,6 +40,25 @@
   }
 }
 
+// Guards against the name of an entry that ends the header field which it is written into, and so changes the
+// request.
+TEST(ObjectCodec, NameThatIsNoFieldValueNamesNoSearcher) {
+  const std::string payload = R"({"backend":"s","address":"127.0.0.1:1","zone":"a","slots":2,"state":"ready",)"
+                              R"("cold-left-ms":0,"seq":7})";
+  const auto is_searcher = [&](const std::string& name) {
+    return codec->ParseUpstream({.name = name, .payload = payload}).has_value();
+  };
+  for (const std::string& name : {std::string("i-7f3a91c2"), std::string("a b"), std::string("caf\xc3\xa9"),
+                                  std::string(":"), std::string(256, 'n')}) {
+    CHECK_TEXT(is_searcher(name), name.c_str());
+  }
+  for (const std::string& name : {std::string(), std::string("i-1\r\n"), std::string("i-1\nX-Deadline-Ms: 9"),
+                                  std::string("i\r1"), std::string("i\0a", 3), std::string("\t1"), std::string(" 1"),
+                                  std::string("1 "), std::string("\x7f"), std::string(257, 'n')}) {
+    CHECK_TEXT(!is_searcher(name), name.c_str());
+  }
+}
+
 // Guards against a deeply nested entry that overflows the stack and crashes all daemons.
 TEST(ObjectCodec, DeeplyNestedEntryYieldsNoSearcher) {
   const std::string nested = std::string(300'000, '[') + std::string(300'000, ']');
--- a/src/libkernel/log.cpp
+++ b/src/libkernel/log.cpp
@@ -5,6 +5,7 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace pimentomoor {
@@ -27,10 +28,15 @@
   throw std::invalid_argument("set log level: '" + std::string(level) + "' is not debug, info, warn or error");
 }
 
-bool NeedsQuotes(std::string_view value) { return value.empty() || value.find_first_of(" \t\r\n\"=") != value.npos; }
+bool IsControl(char c) { return static_cast<unsigned char>(c) < ' ' || c == '\x7f'; }
 
-// Quotes values that contain white space, quotes or '=' and replaces control characters in them by spaces, so that an
-// event takes exactly one line.
+bool NeedsQuotes(std::string_view value) {
+  return value.empty() || value.find_first_of(" \"=") != value.npos ||
+         std::any_of(value.begin(), value.end(), IsControl);
+}
+
+// Quotes values that contain spaces, quotes, '=' or control characters and replaces the latter by spaces, so that an
+// event takes exactly one line and changes no terminal that shows it.
 std::string FormatValue(std::string_view value) {
   if (!NeedsQuotes(value)) {
     return std::string(value);
@@ -40,22 +46,11 @@
     if (c == '"' || c == '\\') {
       quoted += '\\';
     }
-    quoted += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+    quoted += IsControl(c) ? ' ' : c;
   }
   return quoted + "\"";
 }
 
-std::string FormatLine(std::string_view event, std::initializer_list<LogField> fields) {
-  std::string line(event);
-  for (const auto& field : fields) {
-    line += ' ';
-    line += field.key;
-    line += '=';
-    line += FormatValue(field.value);
-  }
-  return line;
-}
-
 log4cxx::LoggerPtr RootLogger() {
   static const log4cxx::LoggerPtr logger = log4cxx::Logger::getRootLogger();
   return logger;
@@ -66,6 +61,17 @@
 
 }  // namespace
 
+std::string FormatLogLine(std::string_view event, std::initializer_list<LogField> fields) {
+  std::string line(event);
+  for (const auto& field : fields) {
+    line += ' ';
+    line += field.key;
+    line += '=';
+    line += FormatValue(field.value);
+  }
+  return line;
+}
+
 void InitLogging(std::string_view level) {
   const auto parsed = ParseLevel(level);
   const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{ISO8601} %p %m%n"));
@@ -80,19 +86,19 @@
 
 void LogInfo(std::string_view event, std::initializer_list<LogField> fields) {
   if (initialized) {
-    LOG4CXX_INFO(RootLogger(), FormatLine(event, fields));
+    LOG4CXX_INFO(RootLogger(), FormatLogLine(event, fields));
   }
 }
 
 void LogWarn(std::string_view event, std::initializer_list<LogField> fields) {
   if (initialized) {
-    LOG4CXX_WARN(RootLogger(), FormatLine(event, fields));
+    LOG4CXX_WARN(RootLogger(), FormatLogLine(event, fields));
   }
 }
 
 void LogError(std::string_view event, std::initializer_list<LogField> fields) {
   if (initialized) {
-    LOG4CXX_ERROR(RootLogger(), FormatLine(event, fields));
+    LOG4CXX_ERROR(RootLogger(), FormatLogLine(event, fields));
   }
 }
 
--- a/src/libnet/http1_message.cpp
+++ b/src/libnet/http1_message.cpp
@@ -205,6 +205,13 @@
                                                    [](char a, char b) { return LowerCase(a) == LowerCase(b); });
 }
 
+bool IsFieldValue(std::string_view text) {
+  constexpr std::size_t kMaxBytes = 256;
+  const auto is_control = [](char c) { return static_cast<unsigned char>(c) < ' ' || c == '\x7f'; };
+  return !text.empty() && text.size() <= kMaxBytes && text.front() != ' ' && text.back() != ' ' &&
+         std::none_of(text.begin(), text.end(), is_control);
+}
+
 class RequestReader::Parser final : public MessageParser<true, RequestMessage> {
  public:
   using MessageParser::MessageParser;
