Let no older list or event undo what a peer has delivered

Callers would see: at a daemon that lists a kind of records while it adopts a newer state from a peer, an evacuation in force is taken back, or a searcher that has left is used again, until the next change of that kind. Found by the review by reading.

Cause: RecordFeed applied a complete list as it stood and set its revision back. The revision that heartbeats compare stayed, so the state was not fetched again.

Change: a list that is older than the known state is dropped; of a newer one, and of watch answers, nothing replaces a newer change or removal that is known.

--- a/src/include/pimentomoor/record_feed.h
+++ b/src/include/pimentomoor/record_feed.h
@@ -123,6 +123,10 @@
   void OnWatchAnswer(const std::optional<ResponseMessage>& response);
   /// Counts records that were left out because they have no readable name, and logs the first ones.
   void CountUnreadable(std::size_t records);
+  /// Applies a complete list, unless a newer state is known.
+  void ApplyList(std::vector<StoredRecord> records);
+  /// Whether a newer change or removal of the record is known than one of `revision`.
+  [[nodiscard]] bool IsSuperseded(const std::string& name, std::uint64_t revision) const;
   void Put(StoredRecord record);
   void RemoveAllExcept(const std::vector<std::string>& names, std::uint64_t revision);
   void Remove(const std::string& name, std::uint64_t revision);
--- a/src/libgateway/record_feed.cpp
+++ b/src/libgateway/record_feed.cpp
@@ -114,16 +114,38 @@
     return;
   }
   list_pending_ = false;
+  ApplyList(std::exchange(listed_records_, {}));
+  OnCallSucceeded();
+}
+
+void RecordFeed::ApplyList(std::vector<StoredRecord> records) {
+  if (first_page_revision_ < store_revision_) {
+    return;  // a peer has delivered a newer state since the list began
+  }
   store_revision_ = first_page_revision_;
   std::vector<std::string> names;
-  for (auto& record : listed_records_) {
+  for (auto& record : records) {
     names.push_back(record.name);
-    Put(std::move(record));
+    if (!IsSuperseded(record.name, record.revision)) {
+      Put(std::move(record));
+    }
+  }
+  for (const auto& [name, record] : records_) {
+    if (record.revision > store_revision_) {
+      names.push_back(name);  // a peer has shown a change that is newer than the list
+    }
   }
-  listed_records_.clear();
   RemoveAllExcept(names, store_revision_);
   handlers_.on_batch_applied();
-  OnCallSucceeded();
+}
+
+bool RecordFeed::IsSuperseded(const std::string& name, std::uint64_t revision) const {
+  if (const auto known = records_.find(name); known != records_.end()) {
+    return known->second.revision > revision;
+  }
+  return std::any_of(removals_.begin(), removals_.end(), [&](const RemovedRecord& removal) {
+    return removal.name == name && removal.revision > revision;
+  });
 }
 
 bool RecordFeed::IsListTooLong() const {
@@ -210,6 +232,12 @@
     const RecordEvents answer = codec_.ParseEvents(response->body);
     CountUnreadable(answer.unreadable_records);
     for (const auto& event : answer.events) {
+      // A peer may have delivered this change and later ones since the watch began. A removal may name the revision
+      // of the record that it removes, which says nothing about the time of the removal.
+      const bool known = !event.deleted && event.record.revision <= store_revision_;
+      if (known || IsSuperseded(event.record.name, event.record.revision)) {
+        continue;
+      }
       if (event.deleted) {
         Remove(event.record.name, event.record.revision);
       } else {
--- a/src/libgateway/record_feed_test.cpp
+++ b/src/libgateway/record_feed_test.cpp
@@ -251,6 +251,51 @@
   CHECK(send_delta(late_peer));
 }
 
+// Guards against a list that began before a peer delivered a newer state and ends after it: the older list must
+// neither bring back what is gone nor remove what is new.
+TEST(RecordFeed, ListDoesNotUndoTheNewerStateOfAPeer) {
+  store.respond = [](const std::string& target) -> std::string {
+    return target.find('?') == target.npos ? Page(Object("a", 3) + "," + Object("b", 4), 10, true) : "";
+  };
+  feed.SetSource(RecordFeed::Source::kLongWatch);
+  CHECK(RunUntil([this] { return store.targets.size() == 2; }));  // the second page is asked for
+  feed.Adopt(
+      {.store_revision = 20,
+       .content_revision = 15,
+       .changed = {{.name = "b", .revision = 12, .payload = "{}"}, {.name = "c", .revision = 15, .payload = "{}"}},
+       .existing_names = {"b", "c"}});
+  const std::vector<std::string> adopted = changes;
+  store.connections.back()->stream->Write(Page(Object("d", 5), 11));
+  CHECK(RunUntil([this] { return store.targets.size() == 3; }));
+  STRCMP_EQUAL("b12 c15 ", KnownRecords().c_str());
+  CHECK(changes == adopted);
+  STRCMP_EQUAL("/api/objects/servers?watch=20&wait-ms=500", store.targets.back().c_str());
+}
+
+// Guards against the same when the list is complete up to a later revision than the peer's state, but the peer has
+// shown single changes beyond it.
+TEST(RecordFeed, ListDoesNotUndoSingleNewerChangesOfAPeer) {
+  store.respond = [](const std::string& target) -> std::string {
+    return target.find('?') == target.npos ? Page(Object("a", 3) + "," + Object("b", 4), 10, true) : "";
+  };
+  feed.SetSource(RecordFeed::Source::kLongWatch);
+  CHECK(RunUntil([this] { return store.targets.size() == 2; }));
+  feed.Adopt({.store_revision = 8,
+              .content_revision = 15,
+              .changed = {{.name = "a", .revision = 3, .payload = "{}"},
+                          {.name = "b", .revision = 12, .payload = "{}"},
+                          {.name = "c", .revision = 15, .payload = "{}"}},
+              .existing_names = {"a", "b", "c"}});
+  feed.Adopt({.store_revision = 8,
+              .content_revision = 16,
+              .removed = {{.name = "a", .revision = 16}},
+              .lists_existing_names = false});
+  store.connections.back()->stream->Write(Page(Object("d", 5), 11));
+  CHECK(RunUntil([this] { return store.targets.size() == 3; }));
+  STRCMP_EQUAL("b12 c15 d5 ", KnownRecords().c_str());
+  STRCMP_EQUAL("/api/objects/servers?watch=10&wait-ms=500", store.targets.back().c_str());
+}
+
 // Guards against an entry that can't be read and keeps a daemon from learning of all other changes.
 TEST(RecordFeed, UnreadableRecordHoldsNothingBack) {
   const std::string odd_content = R"({"meta":{"name":"odd","rev":5},"spec":{"version":"\ud83d"}})";
