Treat the upstreams of a returning failure domain as cold for 2 s

Callers would see: searchers of a failure domain that comes back into service crash, because they have become cold and get the whole load (rule FAILBACK).

Cause: the end of an outage is known before the entries that say "cold". They are watched apart, and a searcher writes its entry every 1.2 s only.

Ruled out: the queue of an upstream that turns cold (another fault; the test stayed red with its fix), and the parts of the cold rate (the excess is far above all allowances).

Change: when an outage ends, the upstreams of the failure domain count as cold for 2 s, whatever their entries say.

--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -2,6 +2,7 @@
 // connection limit, a queue of requests that wait for a connection, and health signals from the answers.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -139,6 +140,8 @@
   /// Takes the upstream out of use while operators have its failure domain out of service. Its queue stays until
   /// ReleaseInadmissible(), so that the queues of a whole failure domain are released when all its links are marked.
   void SetInOutage(bool in_outage) { in_outage_ = in_outage; }
+  /// Treats the upstream as cold until then, whatever its entry says.
+  void AssumeColdUntil(TimePoint until) { assumed_cold_until_ = until; }
   /// Ends the queued exchanges that may no longer be sent to the upstream with kNotSent, so that their requests are
   /// placed anew: all of them when it is not usable, and when it has become cold those that its cold rate doesn't
   /// count.
@@ -152,7 +155,7 @@
   [[nodiscard]] bool misdirected() const { return misdirected_; }
   [[nodiscard]] bool in_outage() const { return in_outage_; }
   [[nodiscard]] bool entry_missing() const { return entry_missing_; }
-  [[nodiscard]] bool cold(TimePoint now) const { return now < cold_until_; }
+  [[nodiscard]] bool cold(TimePoint now) const { return now < std::max(cold_until_, assumed_cold_until_); }
   void SetColdFor(Duration left, TimePoint now);
   /// Describes the upstream for the choice between upstreams.
   [[nodiscard]] UpstreamCandidate MakeCandidate(TimePoint now) const;
@@ -192,6 +195,7 @@
       crash_suspects_;                           // recently lost requests, with the time of the loss
   std::vector<UpstreamExchangePtr> unanswered_;  // sent and not done, oldest first
   TimePoint cold_until_{};
+  TimePoint assumed_cold_until_{};
   bool retired_ = false;
   bool misdirected_ = false;  // the upstream said that it is not the expected instance; until its entry changes
   bool in_outage_ = false;
--- a/src/libgateway/queued_requests_test.cpp
+++ b/src/libgateway/queued_requests_test.cpp
@@ -111,4 +111,33 @@
   CHECK(searcher.arrivals() <= 1 + kBound);
 }
 
+// Guards against sending the whole load to the upstreams of a failure domain that has just come back into service,
+// before they have written that they are cold.
+TEST(QueuedRequests, UpstreamsOfAReturningFailureDomainGetTheColdRate) {
+  constexpr double kRate = 5;
+  constexpr double kBound = kRate * 1.5 + 5;  // in each second, for all daemons; docs/platform.md, section 3
+  harness.SetRoute(SingleRoute(true), 30, kRate);
+  auto& searcher =
+      harness.AddSearcher("s", {.response = IdentifiedResponse(kCallerRequestId, "cold")}, {.failure_domain = "b"});
+  const auto load_for = [&](Duration time) {
+    const unsigned before = searcher.arrivals();
+    const TimePoint end = harness.loop.Now() + time;
+    while (harness.loop.Now() < end) {
+      harness.Call();
+      harness.Wait(milliseconds(10));
+    }
+    return searcher.arrivals() - before;
+  };
+  CHECK(load_for(milliseconds(300)) > kBound);  // warm
+  harness.upstreams.SetOutages({"b"});
+  harness.Wait(milliseconds(100));
+  harness.upstreams.SetOutages({});
+  const unsigned unknown = load_for(milliseconds(500));
+  UpstreamEntry cold = harness.upstreams.services().at("s").links.front()->entry();
+  cold.sequence += 1;
+  cold.cold_remaining = seconds(3);
+  harness.upstreams.Announce(cold);
+  CHECK(unknown + load_for(milliseconds(500)) <= kBound);
+}
+
 }  // namespace pimentomoor
--- a/src/libgateway/upstream_set.cpp
+++ b/src/libgateway/upstream_set.cpp
@@ -16,6 +16,10 @@
 // network has heard of the others.
 constexpr Duration kDaemonDiscoveryTime = std::chrono::seconds(4);
 
+// Time after the end of an outage for which the upstreams of the failure domain count as cold. They may have become
+// cold shortly before, and write their entries every 1.2 s.
+constexpr Duration kReturnProbation = std::chrono::seconds(2);
+
 constexpr Duration kProcessPauseThreshold = std::chrono::milliseconds(200);  // eight intervals of Gateway::Tick()
 
 // Whether `entry` was written before `held`: by an earlier process of the upstream, or earlier by the same one.
@@ -116,7 +120,11 @@
   // All links are marked before any queue is released, so that no request moves to another upstream of the domain.
   std::vector<std::shared_ptr<UpstreamLink>> links;
   for (const auto& [id, link] : by_id_) {
-    link->SetInOutage(outages_.contains(link->entry().failure_domain));
+    const bool in_outage = outages_.contains(link->entry().failure_domain);
+    if (link->in_outage() && !in_outage) {
+      link->AssumeColdUntil(context_.loop.Now() + kReturnProbation);
+    }
+    link->SetInOutage(in_outage);
     links.push_back(link);
   }
   for (const auto& link : links) {
