Mend the linter's findings in two tests

Cause: products of int as sizes in the tests of CallerServer, and the name of a constant in those of CrashReports. Change: one constant of type std::size_t for all reads; the other is written where it is used.

--- a/src/libnet/caller_server_test.cpp
+++ b/src/libnet/caller_server_test.cpp
@@ -22,6 +22,7 @@
 using std::chrono::seconds;
 
 constexpr Duration kClockStep = milliseconds(500);  // longer than the interval of the server's timeout checks
+constexpr std::size_t kReadBytes = std::size_t{128} * 1024;  // that a slow reader takes at a time
 
 // A caller that records what it receives and whether its connection has ended.
 struct TestCaller final : TcpStreamHandler {
@@ -141,7 +142,7 @@
   }
   CHECK_EQUAL(1U, server.running_requests());
   for (int step = 0; step < 100'000 && reader.received() < kBodyBytes; ++step) {
-    CHECK(reader.Read(64 * 1024));
+    CHECK(reader.Read(kReadBytes));
     loop.RunOnce(Duration::zero());
   }
   CHECK(reader.received() > kBodyBytes);
@@ -157,7 +158,7 @@
       loop, clock, [&] { return server.running_requests() == 1; }, seconds(5)));
   const TimePoint start = clock.Now();
   while (server.running_requests() == 1 && clock.Now() - start < seconds(60)) {
-    CHECK(reader.Read(128 * 1024));
+    CHECK(reader.Read(kReadBytes));
     for (int turn = 0; turn < 4; ++turn) {
       loop.RunOnce(milliseconds(1));
     }
@@ -165,7 +166,7 @@
   }
   CHECK(clock.Now() - start > 2 * seconds(7));
   while (reader.received() < kBodyBytes) {
-    CHECK(reader.Read(512 * 1024));
+    CHECK(reader.Read(kReadBytes));
     loop.RunOnce(milliseconds(1));
   }
   CHECK_EQUAL(0U, metrics.counter("pimentomoor_caller_answers_given_up_total", "reason=\"not read\""));
--- a/src/libroute/crash_reports_test.cpp
+++ b/src/libroute/crash_reports_test.cpp
@@ -91,9 +91,8 @@
   std::uint64_t next_reporter_ = 0;
   std::vector<CrashReports> daemons_;
   std::vector<int> parts_;
-  TimePoint now_{hours_since_epoch_};
+  TimePoint now_{std::chrono::hours(24)};
   unsigned crashes_ = 0;
-  static constexpr Duration hours_since_epoch_ = std::chrono::hours(24);
 };
 
 }  // namespace
