Wrap a comment as the formatter asks

Cause: a comment of http1_message.h was a few columns too wide for the formatter. Change: wrapped. Measured: clang-format reports nothing on all sources.

--- a/src/include/pimentomoor/http1_message.h
+++ b/src/include/pimentomoor/http1_message.h
@@ -34,8 +34,8 @@
 /// Compares two ASCII texts without regard to case.
 bool EqualsIgnoreCase(std::string_view left, std::string_view right);
 
-/// Whether `text`, which comes from another program, can be the value of a header field as it stands: it has no control
-/// characters and no white space at its ends, and is neither empty nor longer than 256 bytes.
+/// Whether `text`, which comes from another program, can be the value of a header field as it stands: it has no
+/// control characters and no white space at its ends, and is neither empty nor longer than 256 bytes.
 bool IsFieldValue(std::string_view text);
 
 /// A request as read from a caller.
