Add the interfaces that the new parts share

Cause: customers, roll-outs, leaving upstreams and a store that is restored from a copy are built side by side and meet in the message readers, the routing table and the heartbeat. Measured: nothing yet; no behaviour changes.

--- a/src/include/pimentomoor/http1_message.h
+++ b/src/include/pimentomoor/http1_message.h
@@ -27,6 +27,10 @@
   std::string cold_ms;            // responses of upstreams: milliseconds until the upstream is warm
   std::string parts;              // gathered answers to callers: stamps of the merged parts
   std::string missing_parts;      // gathered answers to callers: number of parts without an answer
+  std::string api_key;            // requests of callers: key of the customer
+  std::string customer;           // requests to upstreams: name of the customer that holds the key
+  std::string leaving;            // responses of upstreams: "1" when the upstream is about to end
+  std::string store_era;          // responses of the store: number of times it has been restored from a copy
 
   friend bool operator==(const FieldNames&, const FieldNames&) = default;
 };
@@ -63,6 +67,9 @@
   std::string instance;
   std::optional<std::uint64_t> cold_ms;
   std::optional<std::uint64_t> keep_alive_s;  // idle timeout from the server's Keep-Alive field, in seconds
+  std::string retry_after;  // text of the Retry-After field
+  std::string store_era;
+  bool leaving = false;  // the upstream is about to end
   bool not_run = false;
   bool has_content_encoding = false;  // the body is encoded and not the upstream's plain text
   bool keep_alive = false;            // the connection can carry another request
--- a/src/include/pimentomoor/routing_table.h
+++ b/src/include/pimentomoor/routing_table.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "pimentomoor/clock.h"
+#include "pimentomoor/customer.h"
 
 namespace pimentomoor {
 
@@ -33,6 +34,7 @@
   Duration objective = std::chrono::seconds(1);  // target latency; a merged answer may lack late shards after it
   unsigned max_attempts = 1;                     // upstreams on which a request may run, for each shard
   unsigned priority = 0;                         // 0 is the highest priority
+  bool is_public = false;                        // requests need no key, even when the table names customers
   // Exactly one of `targets` and `shards` is not empty.
   std::vector<WeightedService> targets;  // one service, or several among which the requests are split by weight
   std::vector<std::string> shards;       // services that all answer a request; their records are merged
@@ -68,6 +70,7 @@
   std::uint64_t version = 0;
   std::vector<RouteSpec> routes;
   std::vector<RoutedServiceSpec> services;
+  std::vector<CustomerSpec> customers;  // empty: requests need no key
   CallerLimits limits;
 
   friend bool operator==(const RoutingTableSpec&, const RoutingTableSpec&) = default;
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -32,6 +32,7 @@
   std::string service;
   std::string address;  // "IP:port"
   std::string failure_domain;
+  std::string version;  // version of its software; empty when the upstream names none
   unsigned slots = 1;  // requests that the upstream runs at a time
   bool draining = false;
   Duration cold_remaining{};        // how long after writing the entry the upstream stays cold
--- a/src/libnet/http1_message.cpp
+++ b/src/libnet/http1_message.cpp
@@ -329,6 +329,9 @@
     case http::field::content_encoding:
       message_.has_content_encoding = true;
       break;
+    case http::field::retry_after:
+      message_.retry_after = ToStdView(value);
+      break;
     case http::field::unknown: {
       const std::string_view text = ToStdView(name);
       if (EqualsIgnoreCase(text, names_.request_id)) {
@@ -341,6 +344,10 @@
         message_.instance = ToStdView(value);
       } else if (EqualsIgnoreCase(text, names_.cold_ms)) {
         message_.cold_ms = ParseUnsigned(ToStdView(value));
+      } else if (EqualsIgnoreCase(text, names_.leaving)) {
+        message_.leaving = message_.leaving || value == "1";
+      } else if (EqualsIgnoreCase(text, names_.store_era)) {
+        message_.store_era = ToStdView(value);
       }
       break;
     }
