Ask for the keys of customers and name the customer to upstreams

Change: the adapter reads the customers of the routing table and keeps digests of their keys. A request on a route that is not public gets 401 without a key that the table in force holds, before anything is queued. Upstreams get the name of the customer; the reader keeps fields with a key or a customer's name apart from those that are forwarded. Without customers in the table, all fields are forwarded as received. A RequestRun knows its customer and its priority.

--- a/src/fuzz/request.cpp
+++ b/src/fuzz/request.cpp
@@ -13,7 +13,7 @@
 
 auto TieFields(const RequestMessage& message) {
   return std::tie(message.method, message.target, message.host, message.request_id, message.deadline_ms,
-                  message.forward_fields, message.body, message.has_body, message.keep_alive,
+                  message.forward_fields, message.customer_fields, message.body, message.has_body, message.keep_alive,
                   message.expects_continue);
 }
 
@@ -36,6 +36,13 @@
   Check(TieFields(pieces.message()) == TieFields(message), "the message does not depend on the split");
   Check(message.body.size() <= SmallLimits().body_bytes, "the body is within the limit");
   Check(message.target.starts_with('/'), "the target is a path");
+  std::size_t customer_bytes = 0;
+  for (const auto& field : message.customer_fields) {
+    customer_bytes += field.forwarded ? field.line.view().size() : 0;
+  }
+  Check(message.AllForwardFields().size() == message.forward_fields.size() + customer_bytes,
+        "no field is lost or sent twice");
+  static_cast<void>(message.FindKey());
   static_cast<void>(codec->IsResolveRequest(message) || codec->IsReadinessRequest(message));
 }
 
--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -52,7 +52,11 @@
   [[nodiscard]] bool HandleInspection(CallerExchange& exchange) const;
   [[nodiscard]] std::string RenderStatus() const;
 
+  /// Answers 401 to a request without the key of a customer.
+  void RefuseAccess(CallerExchange& exchange, const RouteSpec& route, const char* reason);
+
   void OnRoutingRecord(const StoredRecord& record);
+  void LogRoutingTable() const;
   void OnUpstreamRecord(const StoredRecord& record);
   void OnUpstreamDeleted(const std::string& name);
   /// Removes an upstream whose entry is gone or unusable, unless a usable one comes back soon.
--- a/src/include/pimentomoor/http1_message.h
+++ b/src/include/pimentomoor/http1_message.h
@@ -13,6 +13,9 @@
 #include <string_view>
 #include <vector>
 
+#include "pimentomoor/customer.h"
+#include "pimentomoor/secret_text.h"
+
 namespace pimentomoor {
 
 /// Names of the header fields that the gateway itself reads or writes, in lower case. The platform adapter supplies
@@ -42,6 +45,18 @@
 /// control characters and no white space at its ends, and is neither empty nor longer than 256 bytes.
 bool IsFieldValue(std::string_view text);
 
+/// A header field of a request that holds a key or claims to name a customer.
+struct CustomerField {
+  std::size_t forward_offset = 0;  // position in RequestMessage::forward_fields at which it was received
+  std::size_t value_offset = 0;    // position of the value in `line`
+  bool is_key = false;
+  bool in_trailer = false;
+  bool forwarded = true;  // not named in a Connection field
+  SecretText line;        // "Name: value\r\n"
+
+  friend bool operator==(const CustomerField&, const CustomerField&) = default;
+};
+
 /// A request as read from a caller.
 struct RequestMessage {
   std::string method;
@@ -49,7 +64,10 @@
   std::string host;    // from the Host field, without the port, in lower case
   std::string request_id;
   std::optional<std::uint64_t> deadline_ms;
-  std::string forward_fields;  // "Name: value\r\n" for each header field to forward
+  std::string forward_fields;  // "Name: value\r\n" for each header field to forward, without customer_fields
+  // Fields that are forwarded only in a deployment without customers. Apart from the others, so that a key is copied
+  // and wiped in one place.
+  std::vector<CustomerField> customer_fields;
   std::string body;
   bool has_body = false;          // has a Content-Length or is chunked, even if the body is empty
   bool keep_alive = true;         // the caller keeps the connection open for further requests
@@ -57,6 +75,10 @@
 
   /// The target without the query string.
   [[nodiscard]] std::string_view path() const { return std::string_view(target).substr(0, target.find('?')); }
+  /// The key in the header of the request. A trailer is not part of it.
+  [[nodiscard]] PresentedKey FindKey() const;
+  /// forward_fields and customer_fields in the order in which they were received.
+  [[nodiscard]] std::string AllForwardFields() const;
 };
 
 /// A response as read from a server. FieldNames describes the fields that are specific to the tier.
@@ -67,7 +89,7 @@
   std::string instance;
   std::optional<std::uint64_t> cold_ms;
   std::optional<std::uint64_t> keep_alive_s;  // idle timeout from the server's Keep-Alive field, in seconds
-  std::string retry_after;  // text of the Retry-After field
+  std::string retry_after;                    // text of the Retry-After field
   std::string store_era;
   bool leaving = false;  // the upstream is about to end
   bool not_run = false;
--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -82,11 +82,14 @@
 
 class RequestRun final : public ExchangeHandler, public std::enable_shared_from_this<RequestRun> {
  public:
+  /// `route` and the customer of `owner` belong to `table`. A request keeps them, also when a later table withdraws
+  /// the key while the request waits or runs.
   RequestRun(SharedRequestContext& context, std::shared_ptr<CallerExchange> caller,
-             std::shared_ptr<const RoutingTable> table, const RouteSpec& route);
+             std::shared_ptr<const RoutingTable> table, const RouteSpec& route, RequestOwner owner = {});
   ~RequestRun() override;
 
   void Start();
+  [[nodiscard]] const RequestOwner& owner() const { return owner_; }
   /// Applies a changed SharedRequestContext::answer_by.
   void ApplyAnswerBy();
 
@@ -151,8 +154,9 @@
 
   SharedRequestContext& context_;
   std::shared_ptr<CallerExchange> caller_;
-  std::shared_ptr<const RoutingTable> table_;  // keeps route_ alive
+  std::shared_ptr<const RoutingTable> table_;  // keeps route_ and the customer of owner_ alive
   const RouteSpec& route_;
+  const RequestOwner owner_;
   RouteLatency& latency_;
   std::shared_ptr<UpstreamRequest> request_;
   std::vector<Part> parts_;
--- a/src/include/pimentomoor/routing_table.h
+++ b/src/include/pimentomoor/routing_table.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <cstring>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -70,7 +71,11 @@
   std::uint64_t version = 0;
   std::vector<RouteSpec> routes;
   std::vector<RoutedServiceSpec> services;
-  std::vector<CustomerSpec> customers;  // empty: requests need no key
+  // Names differ, because shares and caps are kept by name.
+  std::vector<CustomerSpec> customers;
+  // The table has a list of customers, of which none may be usable. Requests need a key then, too.
+  bool lists_customers = false;
+  std::size_t unusable_customers = 0;  // customers and keys that were left out, because they are malformed
   CallerLimits limits;
 
   friend bool operator==(const RoutingTableSpec&, const RoutingTableSpec&) = default;
@@ -89,15 +94,45 @@
   /// the first one in the table.
   [[nodiscard]] const RouteSpec* Find(std::string_view host, std::string_view path) const;
 
+  /// Whether requests on routes that are not public need the key of a customer.
+  [[nodiscard]] bool requires_keys() const { return spec_.lists_customers || !spec_.customers.empty(); }
+  /// The customer that holds the key; null when there is none. Of several customers, the first one in the table.
+  [[nodiscard]] const CustomerSpec* FindCustomer(std::string_view key) const;
+  /// Number of keys that an earlier customer of the table holds, too.
+  [[nodiscard]] std::size_t repeated_keys() const { return repeated_keys_; }
+
  private:
+  // Compares digests in constant time.
+  struct EqualDigests {
+    bool operator()(const KeyDigest& left, const KeyDigest& right) const;
+  };
+  // Any bytes of a digest are a hash of the key.
+  struct HashDigest {
+    std::size_t operator()(const KeyDigest& digest) const {
+      std::size_t hash = 0;
+      std::memcpy(&hash, digest.data(), sizeof(hash));
+      return hash;
+    }
+  };
+
   RoutingTableSpec spec_;
   // Routes of each host, with the longest prefix first. The pointers refer to spec_.
   std::unordered_map<std::string, std::vector<const RouteSpec*>> by_host_;
+  // The customer that holds each key. The pointers refer to spec_.
+  std::unordered_map<KeyDigest, const CustomerSpec*, HashDigest, EqualDigests> by_key_;
+  std::size_t repeated_keys_ = 0;
 };
 
 /// The same lookup by a scan over all routes; the baseline in tests.
 const RouteSpec* FindRouteNaive(const RoutingTableSpec& spec, std::string_view host, std::string_view path);
 
+/// Decides whether a request may run. On a public route it runs without a key, and a valid key still names its
+/// customer. `route` belongs to `table`.
+AccessDecision DecideAccess(const RoutingTable& table, const RouteSpec& route, const PresentedKey& key);
+
+/// RoutingTable::FindCustomer() by a scan over all customers; the baseline in tests.
+const CustomerSpec* FindCustomerNaive(const RoutingTableSpec& spec, std::string_view key);
+
 /// Smooth weighted round robin: after n choices, the number of choices of each target differs by less than one from
 /// its share of n.
 class WeightedChooser {
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -257,14 +257,25 @@
     const CallerLimits& limits = routing_table_->limits();
     caller_server_->SetLimits({.head_bytes = limits.head_bytes, .body_bytes = limits.body_bytes}, limits.head_timeout,
                               limits.idle_timeout);
-    LogInfo("routing table in force", {{"version", std::to_string(routing_table_->version())},
-                                       {"routes", std::to_string(routing_table_->spec().routes.size())}});
+    LogRoutingTable();
   } catch (const FormatError& error) {
     metrics_.Count("pimentomoor_routing_malformed_total");
     LogError("routing table malformed", {{"error", error.what()}});
   }
 }
 
+void Gateway::LogRoutingTable() const {
+  const RoutingTableSpec& spec = routing_table_->spec();
+  LogInfo("routing table in force", {{"version", std::to_string(spec.version)},
+                                     {"routes", std::to_string(spec.routes.size())},
+                                     {"customers", std::to_string(spec.customers.size())}});
+  if (spec.unusable_customers > 0 || routing_table_->repeated_keys() > 0) {
+    LogWarn("customers partly unusable", {{"version", std::to_string(spec.version)},
+                                          {"left_out", std::to_string(spec.unusable_customers)},
+                                          {"repeated_keys", std::to_string(routing_table_->repeated_keys())}});
+  }
+}
+
 void Gateway::OnUpstreamRecord(const StoredRecord& record) {
   auto entry = codec_.ParseUpstream(record);
   if (!entry) {
@@ -328,10 +339,22 @@
     exchange->Respond({.status = 400});
     return;
   }
-  const auto run = std::make_shared<RequestRun>(request_context_, exchange, routing_table_, *route);
+  const AccessDecision access = DecideAccess(*routing_table_, *route, request.FindKey());
+  if (access.refusal != nullptr) {
+    RefuseAccess(*exchange, *route, access.refusal);
+    return;
+  }
+  const auto run = std::make_shared<RequestRun>(request_context_, exchange, routing_table_, *route, access.owner);
   run->Start();
 }
 
+void Gateway::RefuseAccess(CallerExchange& exchange, const RouteSpec& route, const char* reason) {
+  metrics_.Count("pimentomoor_run_refused_total", 1, std::string("reason=\"") + reason + "\"");
+  exchange.Respond({.status = 401, .fields = "WWW-Authenticate: " + codec_.field_names().api_key + "\r\n"});
+  tracer_.OnRequestEnd(exchange, {}, {.route = route.name, .outcome = "outcome=\"unauthorized\"", .status = 401},
+                       loop_.Now());
+}
+
 void Gateway::HandleReady(const std::shared_ptr<CallerExchange>& exchange) {
   exchange->Respond({.status = !codec_.IsReadinessRequest(exchange->request) ? 404 : ready() ? 200 : 503});
 }
--- a/src/libgateway/object_codec_test.cpp
+++ b/src/libgateway/object_codec_test.cpp
@@ -112,6 +112,72 @@
   CHECK(!split.idempotent && split.targets.at(0).weight == 9 && split.objective == std::chrono::seconds(5));
 }
 
+// Guards against a malformed customer that hides the others, against one that opens a route, and against an error
+// that shows a key.
+TEST(ObjectCodec, CustomersAreReadOneByOne) {
+  const auto read = [this](const std::string& customers, const char* is_public = "false") {
+    return codec->ParseRoutingTable(
+        R"({"version":3,"routes":[{"name":"r","host":"h","prefix":"/","type":"safe","timeout-ms":500,"backend":"s",)"
+        R"("public":)" +
+        std::string(is_public) + R"(}],"services":[])" + customers + "}");
+  };
+  const std::string good = R"({"name":"a","api-keys":["k1","k2"],"priority":2,"rate-per-s":19,"burst":5})";
+  const CustomerSpec a{
+      .name = "a", .keys = {DigestKey("k1"), DigestKey("k2")}, .priority = 2, .requests_per_s = 19, .burst = 5};
+  CHECK(read("").customers.empty() && !read("").lists_customers);
+  CHECK(read(R"(,"tenants":[])").customers.empty() && read(R"(,"tenants":[])").lists_customers);
+  CHECK(read("", "true").routes[0].is_public);
+  for (const char* value : {"1", "\"true\"", "null", "{}"}) {
+    CHECK_TEXT(!read("", value).routes[0].is_public, value);
+  }
+  const std::string bytes_of_key = R"("\u0000\r\n")";
+  for (const std::string odd :
+       {R"({"api-keys":["secret"]})", R"({"name":"","api-keys":["secret"]})", R"({"name":7,"api-keys":["secret"]})",
+        R"({"name":"x\r\nHost: y","api-keys":["secret"]})", R"({"name":"x"})", R"({"name":"x","api-keys":"secret"})",
+        R"({"name":"x","api-keys":["secret"],"rate-per-s":"1"})", R"({"name":"x","api-keys":["secret"],"burst":-1})",
+        R"({"name":"x","api-keys":["secret"],"priority":"high"})", R"({"name":"x","api-keys":["secret\ud83d"]})",
+        R"({"name":"x","api-keys":["secret"],"priority":1e400})", "null", "7", "[]"}) {
+    const RoutingTableSpec spec = read(R"(,"tenants":[)" + odd + "," + good + "]");
+    CHECK_TEXT(spec.customers == std::vector<CustomerSpec>{a}, odd.c_str());
+    CHECK_EQUAL_TEXT(1U, spec.unusable_customers, odd.c_str());
+    CHECK_TEXT(RoutingTable(read(R"(,"tenants":[)" + odd + "]")).requires_keys(), odd.c_str());
+  }
+  // Single unreadable keys are left out; a key may hold any characters, though a header field can't.
+  const RoutingTableSpec odd_keys = read(R"(,"tenants":[{"name":"b","api-keys":["",7,null,)" + bytes_of_key +
+                                         R"(,"k"]},{"name":"c","api-keys":[]}])");
+  CHECK_EQUAL(3U, odd_keys.unusable_customers);
+  CHECK(
+      (odd_keys.customers ==
+       std::vector<CustomerSpec>{{.name = "b", .keys = {DigestKey({"\0\r\n", 3}), DigestKey("k")}}, {.name = "c"}}));
+  // The keys of a repeated name belong to the first customer of that name.
+  const RoutingTableSpec repeated = read(R"(,"tenants":[)" + good + R"(,{"name":"a","api-keys":["k3"]}])");
+  CHECK(repeated.customers.size() == 1 && repeated.customers[0].keys.size() == 3 &&
+        repeated.customers[0].priority == 2U);
+  for (const char* list : {R"({"secret":1})", R"("secret")", "null", "7", R"(["secret")"}) {
+    try {
+      read(R"(,"tenants":)" + std::string(list));
+      FAIL(list);
+    } catch (const FormatError& error) {
+      CHECK_TEXT(std::string(error.what()).find("secret") == std::string::npos, error.what());
+    }
+  }
+  CHECK_THROWS(FormatError, read(R"(,"t\u0065nants":[])"));
+}
+
+// Guards against a table of many customers that is not read whole.
+TEST(ObjectCodec, TenThousandCustomersAreRead) {
+  std::string customers;
+  for (int i = 0; i < 10'000; ++i) {
+    customers += (i == 0 ? "" : ",") + std::string(R"({"name":"c)") + std::to_string(i) + R"(","api-keys":["key-)" +
+                 std::to_string(i) + "\"]}";
+  }
+  const RoutingTable table(
+      codec->ParseRoutingTable(R"({"version":1,"routes":[],"services":[],"tenants":[)" + customers + "]}"));
+  LONGS_EQUAL(10'000, table.spec().customers.size());
+  CHECK(table.FindCustomer("key-0")->name == "c0" && table.FindCustomer("key-9999")->name == "c9999");
+  POINTERS_EQUAL(nullptr, table.FindCustomer("key-10000"));
+}
+
 // Guards against malformed bodies that crash the daemon or replace the routing table in force by a partial one.
 TEST(ObjectCodec, MalformedBodiesThrowFormatError) {
   for (const char* body :
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -34,8 +34,15 @@
 // not-run header field, so without it the status must not be passed on.
 bool PromisesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
-std::string FormatRequestHead(const RequestMessage& message, const FieldNames& names) {
-  std::string head = message.method + " " + message.target + " HTTP/1.1\r\n" + message.forward_fields;
+// In a deployment with customers, the upstream gets the name of the customer, and neither a key nor a name that the
+// caller has sent.
+std::string FormatRequestHead(const RequestMessage& message, const FieldNames& names, bool requires_keys,
+                              const CustomerSpec* customer) {
+  std::string head = message.method + " " + message.target + " HTTP/1.1\r\n";
+  head += requires_keys || message.customer_fields.empty() ? message.forward_fields : message.AllForwardFields();
+  if (customer != nullptr) {
+    head += names.customer + ": " + customer->name + "\r\n";
+  }
   head += names.request_id + ": " + message.request_id + "\r\n";
   if (message.has_body || !message.body.empty()) {
     head += "Content-Length: " + std::to_string(message.body.size()) + "\r\n";
@@ -52,15 +59,16 @@
 }  // namespace
 
 RequestRun::RequestRun(SharedRequestContext& context, std::shared_ptr<CallerExchange> caller,
-                       std::shared_ptr<const RoutingTable> table, const RouteSpec& route)
+                       std::shared_ptr<const RoutingTable> table, const RouteSpec& route, RequestOwner owner)
     : context_(context),
       caller_(std::move(caller)),
       table_(std::move(table)),
       route_(route),
+      owner_(owner),
       latency_(context.latencies[route.name]),
       request_(std::make_shared<UpstreamRequest>()) {
   const RequestMessage& message = caller_->request;
-  request_->head = FormatRequestHead(message, context_.names);
+  request_->head = FormatRequestHead(message, context_.names, table_->requires_keys(), owner_.customer);
   request_->body = message.body;
   request_->request_id = message.request_id;
   request_->fingerprint = FingerprintRequest(message.method, message.host, message.target, message.body);
--- a/src/libnet/http1_message.cpp
+++ b/src/libnet/http1_message.cpp
@@ -54,20 +54,31 @@
   }
 }
 
+constexpr std::string_view kFieldSeparator = ": ";
+constexpr std::string_view kLineEnd = "\r\n";
+
 void AppendField(std::string& fields, string_view name, string_view value) {
-  fields.append(name.data(), name.size()).append(": ").append(value.data(), value.size()).append("\r\n");
+  fields.append(name.data(), name.size()).append(kFieldSeparator).append(value.data(), value.size()).append(kLineEnd);
+}
+
+// Whether `names` has the name of the field in `line`.
+bool NamesField(const std::vector<std::string>& names, std::string_view line) {
+  const std::string_view field = line.substr(0, line.find(':'));
+  return std::any_of(names.begin(), names.end(), [&](const auto& name) { return EqualsIgnoreCase(field, name); });
 }
 
-// Removes the fields in `names`, which the Connection field has marked as meant for one connection only.
-void RemoveNamedFields(std::string& fields, const std::vector<std::string>& names) {
+// Removes the fields in `names`, which the Connection field has marked as meant for one connection only. Calls
+// `on_removed(offset, size)` with the former place of each of them.
+template <typename OnRemoved>
+void RemoveNamedFields(std::string& fields, const std::vector<std::string>& names, OnRemoved on_removed) {
   std::string remaining_fields;
   std::string_view rest = fields;
   while (!rest.empty()) {
     const std::size_t end = rest.find("\r\n") + 2;
     const std::string_view line = rest.substr(0, end);
-    const std::string_view name = line.substr(0, line.find(':'));
-    if (std::none_of(names.begin(), names.end(),
-                     [&](const auto& connection_field) { return EqualsIgnoreCase(name, connection_field); })) {
+    if (NamesField(names, line)) {
+      on_removed(fields.size() - rest.size(), end);
+    } else {
       remaining_fields.append(line);
     }
     rest.remove_prefix(end);
@@ -212,6 +223,33 @@
          std::none_of(text.begin(), text.end(), is_control);
 }
 
+PresentedKey RequestMessage::FindKey() const {
+  PresentedKey key;
+  bool found = false;
+  for (const auto& field : customer_fields) {
+    if (!field.is_key || field.in_trailer) {
+      continue;
+    }
+    std::string_view value = field.line.view().substr(field.value_offset);
+    value.remove_suffix(kLineEnd.size());
+    key.conflicting = key.conflicting || (found && value != key.text);
+    key.text = found ? key.text : value;
+    found = true;
+  }
+  return key;
+}
+
+std::string RequestMessage::AllForwardFields() const {
+  std::string fields;
+  std::size_t copied = 0;
+  for (const auto& field : customer_fields) {
+    fields.append(forward_fields, copied, field.forward_offset - copied);
+    fields.append(field.forwarded ? field.line.view() : std::string_view());
+    copied = field.forward_offset;
+  }
+  return fields.append(forward_fields, copied);
+}
+
 class RequestReader::Parser final : public MessageParser<true, RequestMessage> {
  public:
   using MessageParser::MessageParser;
@@ -233,13 +271,30 @@
     message_.has_body = this->chunked() || this->content_length().has_value();
     malformed_ = malformed_ || host_field_count_ != 1;
     if (!connection_tokens_.empty()) {
-      RemoveNamedFields(message_.forward_fields, connection_tokens_);
+      RemoveConnectionFields();
     }
   }
+  void RemoveConnectionFields();
 
   int host_field_count_ = 0;
 };
 
+void RequestReader::Parser::RemoveConnectionFields() {
+  std::vector<CustomerField>& customer_fields = message_.customer_fields;
+  std::vector<std::size_t> offsets;
+  for (const auto& field : customer_fields) {
+    offsets.push_back(field.forward_offset);
+  }
+  RemoveNamedFields(message_.forward_fields, connection_tokens_, [&](std::size_t offset, std::size_t size) {
+    for (std::size_t i = 0; i < offsets.size(); ++i) {
+      customer_fields[i].forward_offset -= offset < offsets[i] ? size : 0;
+    }
+  });
+  for (auto& field : customer_fields) {
+    field.forwarded = !NamesField(connection_tokens_, field.line.view());
+  }
+}
+
 void RequestReader::Parser::on_field_impl(http::field field, string_view name, string_view value, error_code& error) {
   error = {};
   if (field == http::field::transfer_encoding) {
@@ -264,6 +319,15 @@
     message_.request_id = ToStdView(value);
     return;  // not in forward_fields, where a Connection field could remove it; the gateway forwards it separately
   }
+  const bool is_key = EqualsIgnoreCase(ToStdView(name), names_.api_key);
+  if (is_key || EqualsIgnoreCase(ToStdView(name), names_.customer)) {
+    message_.customer_fields.push_back({.forward_offset = message_.forward_fields.size(),
+                                        .value_offset = name.size() + kFieldSeparator.size(),
+                                        .is_key = is_key,
+                                        .in_trailer = this->is_header_done(),
+                                        .line = {ToStdView(name), kFieldSeparator, ToStdView(value), kLineEnd}});
+    return;
+  }
   AppendField(message_.forward_fields, name, value);
 }
 
@@ -295,7 +359,7 @@
     error = {};
     message_.keep_alive = this->keep_alive() && !this->need_eof();
     if (!connection_tokens_.empty()) {
-      RemoveNamedFields(message_.forward_fields, connection_tokens_);
+      RemoveNamedFields(message_.forward_fields, connection_tokens_, [](std::size_t, std::size_t) {});
     }
   }
   void ReadKeepAlive(std::string_view value);
--- a/src/libnet/http1_message_test.cpp
+++ b/src/libnet/http1_message_test.cpp
@@ -90,6 +90,38 @@
   CHECK(read.message.target == "/p?q=1" && read.message.path() == "/p");
 }
 
+// Guards against a key or a claimed customer name among the fields that are forwarded, whatever their spelling,
+// against a trailer that authenticates, and against a deployment without customers that forwards other bytes than it
+// received.
+TEST(Http1Message, CustomerFieldsAreKeptApart) {
+  const auto read = ReadRequest(
+      MakeRequest("A: 1\r\nConnection: x-hop\r\nX-Hop: 1\r\naPI-kEY:  k 1 \r\nX-Tenant: t\r\nX-Hop: 2\r\nB: 2\r\n"
+                  "x-tenant:\r\nTransfer-Encoding: chunked\r\n",
+                  "0\r\nApi-Key: k2\r\nC: 3\r\nX-Tenant: u\r\n\r\n"));
+  CHECK(read.status == ReadStatus::kComplete);
+  STRCMP_EQUAL("Host: A.example:80\r\nA: 1\r\nB: 2\r\nC: 3\r\n", read.message.forward_fields.c_str());
+  STRCMP_EQUAL(
+      "Host: A.example:80\r\nA: 1\r\naPI-kEY: k 1\r\nX-Tenant: t\r\nB: 2\r\nx-tenant: \r\nApi-Key: k2\r\n"
+      "C: 3\r\nX-Tenant: u\r\n",
+      read.message.AllForwardFields().c_str());
+  CHECK((read.message.FindKey() == PresentedKey{.text = "k 1"}));
+  const auto key_of = [](const std::string& fields) {
+    const auto message = ReadRequest(MakeRequest(fields)).message;
+    const PresentedKey key = message.FindKey();
+    return key.conflicting ? "conflicting" : std::string(key.text);
+  };
+  STRCMP_EQUAL("", key_of("").c_str());
+  STRCMP_EQUAL("", key_of("Api-Key:\r\n").c_str());
+  STRCMP_EQUAL("k", key_of("Api-Key: k\r\nAPI-KEY: k\r\n").c_str());
+  STRCMP_EQUAL("conflicting", key_of("Api-Key: k\r\nAPI-KEY: l\r\n").c_str());
+  STRCMP_EQUAL("conflicting", key_of("Api-Key:\r\nApi-Key: k\r\n").c_str());
+  STRCMP_EQUAL("conflicting", key_of("Api-Key: k\r\nApi-Key:\r\n").c_str());
+  // A field that Connection names authenticates, because it is meant for this hop, and isn't forwarded.
+  const auto hop = ReadRequest(MakeRequest("Connection: api-key, x-tenant\r\nApi-Key: k\r\nX-Tenant: t\r\nA: 1\r\n"));
+  CHECK(hop.message.FindKey().text == "k");
+  STRCMP_EQUAL("Host: A.example:80\r\nA: 1\r\n", hop.message.AllForwardFields().c_str());
+}
+
 // Guards against callers that fill the memory with a large head, or with a large body of announced or unknown length.
 TEST(Http1Message, OversizedRequestsAreRefused) {
   CHECK(ReadRequest(MakeRequest("A: " + std::string(600, 'a') + "\r\n")).status == ReadStatus::kHeadTooLarge);
--- a/src/libroute/routing_table.cpp
+++ b/src/libroute/routing_table.cpp
@@ -1,6 +1,8 @@
 // Implementation of the routing table and of the weighted round robin.
 #include "pimentomoor/routing_table.h"
 
+#include <openssl/crypto.h>
+
 #include <algorithm>
 #include <numeric>
 
@@ -15,6 +17,21 @@
       return left->prefix.size() > right->prefix.size();
     });
   }
+  for (const auto& customer : spec_.customers) {
+    for (const auto& key : customer.keys) {
+      const auto [holder, inserted] = by_key_.emplace(key, &customer);
+      repeated_keys_ += !inserted && holder->second != &customer ? 1 : 0;
+    }
+  }
+}
+
+bool RoutingTable::EqualDigests::operator()(const KeyDigest& left, const KeyDigest& right) const {
+  return CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+const CustomerSpec* RoutingTable::FindCustomer(std::string_view key) const {
+  const auto found = by_key_.find(DigestKey(key));
+  return found == by_key_.end() ? nullptr : found->second;
 }
 
 const RouteSpec* RoutingTable::Find(std::string_view host, std::string_view path) const {
--- a/src/testsuite/request_harness.h
+++ b/src/testsuite/request_harness.h
@@ -21,12 +21,14 @@
 
 /// A caller that sends one request and stores the bytes that it receives.
 struct Caller final : TcpStreamHandler {
-  Caller(EventLoop& loop, const std::string& address, const std::string& method, const std::string& request_id)
-      : sent_at(loop.Now()) {
+  Caller(EventLoop& loop, const std::string& address, const std::string& request) : sent_at(loop.Now()) {
     stream = TcpStream::Connect(loop, address, *this);
-    stream->Write(method + " /q HTTP/1.1\r\nHost: h\r\n" + platform_names::kRequestIdField + ": " + request_id +
-                  "\r\nContent-Length: 0\r\n\r\n");
+    stream->Write(request);
   }
+  Caller(EventLoop& loop, const std::string& address, const std::string& method, const std::string& request_id)
+      : Caller(loop, address,
+               method + " /q HTTP/1.1\r\nHost: h\r\n" + platform_names::kRequestIdField + ": " + request_id +
+                   "\r\nContent-Length: 0\r\n\r\n") {}
   void OnData(std::string_view bytes) override { received.append(bytes); }
   void OnEnd(StreamEnd end) override {
     connect_failed = end == StreamEnd::kConnectFailed;
