Add and withdraw keys under load in the gateway's process tests

Cause: nothing showed with real processes that keys come into force in time, stay withdrawn over a restart and do not reach searchers. Change: the stand-in publishes tables with customers, its load sends a key and a forged customer name, and its searchers count keys and wrong customers; test_customer_keys. pimentomoor_bench gets a request with the key of one of 10,000 customers.

--- a/src/testsuite/arrival_checks.h
+++ b/src/testsuite/arrival_checks.h
@@ -4,9 +4,13 @@
 
 #include <deque>
 #include <optional>
+#include <sstream>
 #include <string>
+#include <vector>
 
+#include "names.h"
 #include "pimentomoor/clock.h"
+#include "pimentomoor/http1_message.h"
 
 namespace pimentomoor {
 
@@ -33,10 +37,21 @@
              : std::optional(TimePoint(Duration(std::stoll(request_id.substr(mark + kMark.size())))));
 }
 
+// Part of a request id that names the customer whose key the request carries.
+inline std::string FormatCustomerMark(const std::string& customer) { return "-for-" + customer; }
+/// Null when the request carries no key.
+inline std::optional<std::string> ParseCustomerMark(const std::string& request_id) {
+  constexpr std::string_view kMark = "-for-";
+  const std::size_t mark = request_id.find(kMark);
+  return mark == std::string::npos ? std::nullopt : std::optional(request_id.substr(mark + kMark.size()));
+}
+
 struct ArrivalCounts {
   // All arrivals; arrivals after the limit for a drain, an outage and a caller that left; requests still running
-  // after that last limit; arrivals above the rate limit of a cold searcher.
-  unsigned arrivals = 0, after_drain = 0, after_outage = 0, after_leave = 0, work_after_leave = 0, cold_excess = 0;
+  // after that last limit; arrivals above the rate limit of a cold searcher; arrivals with a key, and with another
+  // customer than the one that holds the caller's key.
+  unsigned arrivals = 0, after_drain = 0, after_outage = 0, after_leave = 0, work_after_leave = 0, cold_excess = 0,
+           with_key = 0, wrong_customer = 0;
 
   ArrivalCounts& operator+=(const ArrivalCounts& other) {
     arrivals += other.arrivals;
@@ -45,6 +60,8 @@
     after_leave += other.after_leave;
     work_after_leave += other.work_after_leave;
     cold_excess += other.cold_excess;
+    with_key += other.with_key;
+    wrong_customer += other.wrong_customer;
     return *this;
   }
 };
@@ -58,7 +75,8 @@
          "," + format_field("arrivals_after_outage", counts.after_outage) + "," +
          format_field("arrivals_after_leave", counts.after_leave) + "," +
          format_field("work_after_leave", counts.work_after_leave) + "," +
-         format_field("cold_excess", counts.cold_excess);
+         format_field("cold_excess", counts.cold_excess) + "," + format_field("arrivals_with_key", counts.with_key) +
+         "," + format_field("arrivals_for_wrong_customer", counts.wrong_customer);
 }
 
 class ArrivalChecks {
@@ -67,6 +85,21 @@
   void SetOutageStart(TimePoint since) { outage_since_ = since; }
   void SetColdUntil(TimePoint until) { cold_until_ = until; }
 
+  /// Checks the fields of a request, each as "Name: value\r\n".
+  void OnFields(const std::string& request_id, const std::string& fields) {
+    std::vector<std::string> customers;
+    std::istringstream lines(fields);
+    for (std::string line; std::getline(lines, line);) {
+      const std::string name = line.substr(0, line.find(':'));
+      counts_.with_key += EqualsIgnoreCase(name, platform_names::kApiKeyField);
+      if (EqualsIgnoreCase(name, platform_names::kCustomerField)) {
+        customers.push_back(line.substr(name.size() + 2, line.size() - name.size() - 3));  // without ": " and "\r"
+      }
+    }
+    const auto expected = ParseCustomerMark(request_id);
+    counts_.wrong_customer += expected && customers != std::vector<std::string>{*expected};
+  }
+
   /// Counts a request. `draining_since` is the start of the searcher's drain, or max() without one.
   void OnArrival(const std::string& request_id, TimePoint draining_since, TimePoint now) {
     ++counts_.arrivals;
--- a/src/testsuite/bench_gateway.cpp
+++ b/src/testsuite/bench_gateway.cpp
@@ -18,10 +18,21 @@
 constexpr int kRuns = 5;
 constexpr int kQueriesPerRun = 40;
 
+std::string CustomerKey(std::size_t number) { return "2dm2buc7takhi7" + std::to_string(100'000 + number); }
+
+std::vector<CustomerSpec> MakeCustomers(std::size_t count) {
+  std::vector<CustomerSpec> customers;
+  for (std::size_t i = 0; i < count; ++i) {
+    customers.push_back(
+        {.name = "customer-" + std::to_string(i), .keys = {DigestKey(CustomerKey(i))}, .priority = 1});
+  }
+  return customers;
+}
+
 // A gateway's request path over `parts` shards with one searcher each, or with `gather` unset over one of them.
 class GatewayBench {
  public:
-  explicit GatewayBench(std::size_t parts, bool gather)
+  explicit GatewayBench(std::size_t parts, bool gather, std::size_t customers = 0)
       : codec_(MakePlatformCodec()),
         upstreams_({.loop = loop_,
                     .metrics = metrics_,
@@ -56,6 +67,7 @@
       }
     }
     spec.routes.push_back(route);
+    spec.customers = MakeCustomers(customers);
     upstreams_.ApplyServices(spec.services);
     table_ = std::make_shared<RoutingTable>(std::move(spec));
     RunQuery();  // opens the connections
@@ -64,8 +76,14 @@
   std::shared_ptr<CallerExchange> StartQuery() {
     RequestMessage message{.method = "GET", .target = "/q", .host = "bench", .request_id = "0123456789abcdef"};
     message.forward_fields = "Host: bench\r\n";
+    if (table_->requires_keys()) {
+      const std::string key = CustomerKey(next_customer_++ % table_->spec().customers.size());
+      message.customer_fields.push_back({.value_offset = 9, .is_key = true, .line = {"Api-Key: ", key, "\r\n"}});
+    }
     auto caller = std::make_shared<CallerExchange>(nullptr, std::move(message), loop_.Now(), false);
-    std::make_shared<RequestRun>(request_context_, caller, table_, table_->spec().routes.front())->Start();
+    const RouteSpec& route = table_->spec().routes.front();
+    const AccessDecision access = DecideAccess(*table_, route, caller->request.FindKey());
+    std::make_shared<RequestRun>(request_context_, caller, table_, route, access.owner)->Start();
     return caller;
   }
 
@@ -96,8 +114,31 @@
   SharedRequestContext request_context_;
   std::shared_ptr<const RoutingTable> table_;
   std::size_t awaited_queries_ = 0;
+  std::size_t next_customer_ = 0;
 };
 
+// Reads the head of a request and decides on its key, which is that of another customer each time.
+double CpuPerReadRequest(const RoutingTable& table) {
+  constexpr std::size_t kRequests = 20'000;
+  const auto codec = MakePlatformCodec();
+  const std::size_t customers = table.spec().customers.size();
+  std::vector<std::string> requests(std::max<std::size_t>(1, customers));
+  for (std::size_t i = 0; i < requests.size(); ++i) {
+    requests[i] = "GET /q HTTP/1.1\r\nHost: bench\r\nX-Request-Id: 9c41d07be2a35f68\r\nX-Deadline-Ms: 800\r\n" +
+                  (customers == 0 ? "" : "Api-Key: " + CustomerKey(i) + "\r\n") + "\r\n";
+  }
+  const double before = ProcessCpuMicroseconds();
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    std::string_view bytes = requests[i % requests.size()];
+    RequestReader reader(codec->field_names(), {});
+    if (reader.Read(bytes) != ReadStatus::kComplete ||
+        DecideAccess(table, table.spec().routes.front(), reader.message().FindKey()).refusal != nullptr) {
+      throw std::runtime_error("measure gateway: request refused");
+    }
+  }
+  return (ProcessCpuMicroseconds() - before) / kRequests;
+}
+
 double CpuPerQuery(GatewayBench& bench) {
   const double before = ProcessCpuMicroseconds();
   for (int i = 0; i < kQueriesPerRun; ++i) {
@@ -234,6 +275,21 @@
                               GatewayBench bench(parts, false);
                               return CpuPerQuery(bench);
                             })});
+  const std::vector<std::size_t> customers = {0, 10'000};
+  report.figures.push_back({.part = "gateway",
+                            .name = "CPU per forwarded request with the key of a customer, us",
+                            .size_unit = "customers",
+                            .points = MeasureSizes(customers, kRuns, [](std::size_t count) {
+                              GatewayBench bench(1, false, count);
+                              return CpuPerQuery(bench);
+                            })});
+  report.figures.push_back({.part = "gateway",
+                            .name = "CPU to read a request and decide on its key, us",
+                            .size_unit = "customers",
+                            .points = MeasureSizes(customers, kRuns, [](std::size_t count) {
+                              return CpuPerReadRequest(
+                                  RoutingTable({.routes = {{.name = "bench"}}, .customers = MakeCustomers(count)}));
+                            })});
 }
 
 }  // namespace pimentomoor
--- a/src/testsuite/bench_main.cpp
+++ b/src/testsuite/bench_main.cpp
@@ -28,6 +28,7 @@
     TCLAP::CmdLine line("Measures CPU time, bytes and heap per unit of work, in one process over loopback.", ' ',
                         "0.1.0");
     const TCLAP::SwitchArg members("", "members", "Only measure the member lists of gateways.", line);
+    const TCLAP::SwitchArg gateway("", "gateway", "Only measure the request path of gateways.", line);
     const TCLAP::SwitchArg json("", "json", "Print the report as JSON.", line);
     TCLAP::ValueArg<std::string> profile("", "profile", "Only run a fixed load on one part, for a profiler.", false,
                                          "", "entry|entry-merged|owner", line);
@@ -37,7 +38,9 @@
       return RunProfile(profile.getValue());
     }
     pimentomoor::BenchReport report;
-    if (!members.getValue()) {
+    if (gateway.getValue()) {
+      pimentomoor::MeasureGateway(report);
+    } else if (!members.getValue()) {
       pimentomoor::MeasureEntry(report);
       pimentomoor::MeasureOwner(report);
       pimentomoor::MeasureTransport(report);
@@ -45,7 +48,9 @@
       pimentomoor::MeasureOnce(report);
       pimentomoor::MeasureGateway(report);
     }
-    pimentomoor::MeasureMembers(report);
+    if (!gateway.getValue()) {
+      pimentomoor::MeasureMembers(report);
+    }
     std::cout << (json.getValue() ? pimentomoor::ReportJson(report) : pimentomoor::ReportMarkdown(report));
     return 0;
   });
--- a/src/testsuite/gateway_load.h
+++ b/src/testsuite/gateway_load.h
@@ -19,6 +19,8 @@
   std::vector<std::string> directories;  // "IP:port" of daemons that answer directory requests, asked in turn
   std::vector<std::string> routes;       // routes that requests take in turn
   std::string request_id_prefix;
+  std::string key;       // key that requests carry; empty: none
+  std::string customer;  // customer that holds the key
   double requests_per_s = 100;
   unsigned seed = 0;       // seed of the choice of daemons
   Duration duration{};     // length of the load, from the first answer of a directory
@@ -39,7 +41,7 @@
   /// and "partial").
   std::string ReportFields() {
     std::string report;
-    for (const char* outcome : {"whole", "partial", "refused", "failed", "wrong", "left"}) {
+    for (const char* outcome : {"whole", "partial", "refused", "failed", "wrong", "left", "denied"}) {
       report += "\"" + std::string(outcome) +
                 "\":" + std::to_string(outcome_counts_.count(outcome) ? outcome_counts_[outcome] : 0) + ",";
     }
@@ -149,10 +151,16 @@
     if (leaves) {
       connection->request_id += FormatLeaveMark(loop_.Now() + options_.leave_after);
     }
-    connection->request_text = (route == "order" ? "POST /" : "GET /") + route +
-                               " HTTP/1.1\r\nHost: " + kGatewayHost + "\r\n" + platform_names::kRequestIdField +
-                               ": " + connection->request_id + "\r\n" + platform_names::kDeadlineMsField +
-                               ": 1000\r\n" + (route == "order" ? "Content-Length: 5\r\n\r\nitem\n" : "\r\n");
+    std::string key_fields;
+    if (!options_.key.empty()) {
+      connection->request_id += FormatCustomerMark(options_.customer);
+      key_fields = std::string(platform_names::kApiKeyField) + ": " + options_.key + "\r\n" +
+                   platform_names::kCustomerField + ": forged\r\n";
+    }
+    connection->request_text =
+        (route == "order" ? "POST /" : "GET /") + route + " HTTP/1.1\r\nHost: " + kGatewayHost + "\r\n" +
+        platform_names::kRequestIdField + ": " + connection->request_id + "\r\n" + platform_names::kDeadlineMsField +
+        ": 1000\r\n" + key_fields + (route == "order" ? "Content-Length: 5\r\n\r\nitem\n" : "\r\n");
     connection->reader.emplace(kResponseFieldNames, MessageLimits(), false, false);
     connection->timer =
         loop_.CallAfter(leaves ? options_.leave_after : kRequestTimeout,
@@ -176,6 +184,9 @@
   // Returns the outcome that is counted for a complete answer.
   const char* ClassifyAnswer(Connection& connection) {
     const ResponseMessage& answer = connection.reader->message();
+    if (answer.status == 401) {
+      return "denied";
+    }
     if (answer.status != 200) {
       const bool not_run =
           answer.status == 408 || answer.status == 421 || answer.status == 429 || answer.status == 503;
--- a/src/testsuite/gateway_searchers.h
+++ b/src/testsuite/gateway_searchers.h
@@ -151,6 +151,7 @@
       return;
     }
     checks_.OnArrival(request.request_id, draining_since_, loop_.Now());
+    checks_.OnFields(request.request_id, request.forward_fields);
     if (const auto leave_time = ParseLeaveTime(request.request_id);
         leave_time && !service_.starts_with(kGatewayUnsafeService)) {
       loop_.CallAt(*leave_time + kMaxTimeAfterLeave,
--- a/src/testsuite/gateway_standin_main.cpp
+++ b/src/testsuite/gateway_standin_main.cpp
@@ -3,9 +3,9 @@
 //
 // Admin calls of `serve`:
 //   /store?mode=ok|unavailable|silent|drop-history
-//   /table?version=N                        publishes the routing table with this version
-//   /counters?prefix=PREFIX&zone=ZONE       counters of request ids with the prefix and of searchers in the zone
-//   /outage?zone=ZONE&out=0|1&cold-ms=N     ends or starts an outage; after it, searchers are cold for cold-ms
+//   /table?version=N&keys=CUSTOMER:KEY,...  publishes the routing table with this version, and customers if any are
+//   named /counters?prefix=PREFIX&zone=ZONE       counters of request ids with the prefix and of searchers in the
+//   zone /outage?zone=ZONE&out=0|1&cold-ms=N     ends or starts an outage; after it, searchers are cold for cold-ms
 //   /searcher?name=PREFIX&fault=none|pause|fail|reset|lose|extra|gone|drain|slow|endless&count=N&every=N&ms=N
 //                                           sets a fault of the searchers whose id has the prefix
 #include <tclap/CmdLine.h>
@@ -54,7 +54,7 @@
     } else if (path == "/store" && mode < 3) {
       store_.SetMode(static_cast<GatewayStore::Mode>(mode));
     } else if (path == "/table") {
-      PublishRoutingTable(QueryParameter(query, "version"));
+      PublishRoutingTable(QueryParameter(query, "version"), QueryParameter(query, "keys"));
     } else if (path == "/searcher" && fault <= static_cast<std::size_t>(SearcherFault::kEndless)) {
       for (const auto& searcher : searchers_) {
         if (searcher->id().starts_with(QueryParameter(query, "name"))) {
@@ -73,9 +73,9 @@
     call.Respond(response);
   }
 
-  void PublishRoutingTable(const std::string& version) {
+  void PublishRoutingTable(const std::string& version, const std::string& keys = "") {
     store_.ChangeObject(std::string(platform_names::kRoutingKind), std::string(platform_names::kRoutingObjectName),
-                        FormatRoutingTable(version, kColdRequestsPerS));
+                        FormatRoutingTable(version, kColdRequestsPerS, keys));
   }
 
   void SetOutage(const std::string& zone, bool in_outage, Duration cold_duration) {
@@ -167,6 +167,9 @@
   TCLAP::ValueArg<unsigned> leave_ms(
       "", "leave-ms", "Time after which callers close the connection of an unanswered request; 0: never.", false, 0,
       "N", line);
+  TCLAP::ValueArg<std::string> key("", "key", "Key that the requests carry.", false, "", "KEY", line);
+  TCLAP::ValueArg<std::string> customer("", "customer", "Holder of the key, which searchers have to be told.", false,
+                                        "", "NAME", line);
   TCLAP::ValueArg<unsigned> seed("", "seed", "Seed of the choice of daemons; 0 draws one.", false, 0, "N", line);
   line.parse(argc, argv);
   const SystemClock clock;
@@ -187,6 +190,8 @@
                  {.directories = directories.getValue(),
                   .routes = routes.isSet() ? routes.getValue() : all_routes,
                   .request_id_prefix = "load-" + std::to_string(std::random_device()()),
+                  .key = key.getValue(),
+                  .customer = customer.getValue(),
                   .requests_per_s = rate.getValue(),
                   .seed = seed.getValue() == 0 ? std::random_device()() : seed.getValue(),
                   .duration = std::chrono::seconds(seconds.getValue()),
--- a/src/testsuite/gateway_test.sh
+++ b/src/testsuite/gateway_test.sh
@@ -11,7 +11,7 @@
 
 TESTS="test_wrong_settings test_kill test_stop test_store_silent test_history_dropped test_drain test_unsafe_faults
   test_extra_responses test_endless_answers test_searchers_away test_callers_leave test_failure_domain_out_and_back test_stop_while_frozen
-  test_restart_all"
+  test_customer_keys test_restart_all"
 
 # ARGUMENTS...: starts the load in the background
 start_load() { gateway_load "$@" >"$FOLDER/load" 2>"$FOLDER/load_errors" & LOAD_PID=$!; }
@@ -255,6 +255,52 @@
   restart_daemon_3
 }
 
+# N KEY: prints the status with which daemon N answers a request with the key
+status_with_key() { gateway_get "$1" pages -o /dev/null -w '%{http_code}' -H "Api-Key: $2"; }
+# STATUS KEY: whether all daemons answer requests with the key so
+all_daemons_answer_key() {
+  local n
+  for n in 1 2 3; do [ "$(status_with_key $n "$2")" = "$1" ] || return 1; done
+}
+# Whether daemon 3 takes the valid key. Sets WRONG when it runs a request with the withdrawn one meanwhile.
+daemon_3_serves_only_valid_keys() {
+  [ "$(status_with_key 3 withdrawn-key)" = 200 ] && WRONG=1
+  [ "$(status_with_key 3 steady-key)" = 200 ]
+}
+
+# Guards against keys that come into force or are withdrawn late, come back with a restarted daemon, or reach a
+# searcher, and against requests that lose their valid key because other keys change.
+test_customer_keys() {
+  local n WRONG=0
+  gateway_admin "table?version=10&keys=alpha:steady-key,beta:withdrawn-key"
+  check "keys are asked for within 3 s" succeeds_within 3000 all_daemons_answer_key 401 none
+  check "a known key is valid" all_daemons_answer_key 200 withdrawn-key
+  start_load --seconds 12 --rate 100 --key steady-key --customer alpha
+  sleep 1
+  gateway_admin "table?version=11&keys=alpha:steady-key,beta:withdrawn-key,gamma:added-key"
+  check "an added key is valid within 3 s" succeeds_within 3000 all_daemons_answer_key 200 added-key
+  gateway_admin "table?version=12&keys=alpha:steady-key,gamma:added-key"
+  check "a withdrawn key is refused within 3 s" succeeds_within 3000 all_daemons_answer_key 401 withdrawn-key
+  for n in 1 2 3 4 5; do
+    check "it stays so" all_daemons_answer_key 401 withdrawn-key
+    sleep 0.2
+  done
+  kill_gateway 3
+  gateway_start_daemon "$FOLDER" 3
+  check "a restarted daemon takes the valid key within 7 s" succeeds_within 7000 daemon_3_serves_only_valid_keys
+  check "it runs no request with the withdrawn key meanwhile" same "$WRONG" 0
+  check "nor later" all_daemons_answer_key 401 withdrawn-key
+  wait_for_load_and_check
+  check "no request with a valid key is denied" same "$(report_field denied)" 0
+  check "at most 50 requests fail, those of the killed daemon" at_most "$(report_field failed)" 50
+  check_mostly_whole 1200
+  check "no key reaches a searcher" is_zero "$(searcher_counter arrivals_with_key)"
+  check "searchers learn the customer that holds the key" is_zero "$(searcher_counter arrivals_for_wrong_customer)"
+  check "no log shows a key" same "$(cat "$FOLDER"/gateway?.log | grep -c -e steady-key -e withdrawn-key -e added-key)" 0
+  gateway_admin "table?version=13"
+  check "without customers no key is asked for within 3 s" succeeds_within 3000 all_daemons_answer version-13
+}
+
 # Guards against state that is lost when all daemons are down at once, because only other daemons hold it.
 test_restart_all() {
   local n
