--- a/src/testsuite/arrival_checks.h
+++ b/src/testsuite/arrival_checks.h
@@ -19,6 +19,8 @@
 constexpr Duration kMaxTimeAfterDrain = std::chrono::milliseconds(3'000);
 constexpr Duration kMaxTimeAfterOutage = std::chrono::milliseconds(5'000);
 constexpr Duration kMaxTimeAfterLeave = std::chrono::milliseconds(500);
+// Time after the start of a pause during which daemons still hear of it; then they send nothing until its end.
+constexpr Duration kMaxTimeAfterPause = std::chrono::milliseconds(500);
 constexpr unsigned kColdRequestsPerS = 5;  // rate that a cold searcher can serve
 // The factor and the summand are the defaults of rate_factor and slack in ColdUpstreamSettings.
 constexpr double kMaxColdArrivalsPerS = kColdRequestsPerS * 1.5 + 5;
@@ -49,9 +51,9 @@
 struct ArrivalCounts {
   // All arrivals; arrivals after the limit for a drain, an outage and a caller that left; requests still running
   // after that last limit; arrivals above the rate limit of a cold searcher; arrivals with a key, and with another
-  // customer than the one that holds the caller's key.
+  // customer than the one that holds the caller's key; arrivals within a pause.
   unsigned arrivals = 0, after_drain = 0, after_outage = 0, after_leave = 0, work_after_leave = 0, cold_excess = 0,
-           with_key = 0, wrong_customer = 0;
+           with_key = 0, wrong_customer = 0, in_pause = 0;
 
   ArrivalCounts& operator+=(const ArrivalCounts& other) {
     arrivals += other.arrivals;
@@ -62,6 +64,7 @@
     cold_excess += other.cold_excess;
     with_key += other.with_key;
     wrong_customer += other.wrong_customer;
+    in_pause += other.in_pause;
     return *this;
   }
 };
@@ -76,7 +79,8 @@
          format_field("arrivals_after_leave", counts.after_leave) + "," +
          format_field("work_after_leave", counts.work_after_leave) + "," +
          format_field("cold_excess", counts.cold_excess) + "," + format_field("arrivals_with_key", counts.with_key) +
-         "," + format_field("arrivals_for_wrong_customer", counts.wrong_customer);
+         "," + format_field("arrivals_for_wrong_customer", counts.wrong_customer) + "," +
+         format_field("arrivals_in_pause", counts.in_pause);
 }
 
 class ArrivalChecks {
@@ -84,6 +88,11 @@
   /// `since` is the start of the outage of the failure domain, or max() without one.
   void SetOutageStart(TimePoint since) { outage_since_ = since; }
   void SetColdUntil(TimePoint until) { cold_until_ = until; }
+  void SetPause(TimePoint begin, TimePoint end) {
+    pause_begin_ = begin;
+    pause_end_ = end;
+  }
+  [[nodiscard]] TimePoint pause_end() const { return pause_end_; }
 
   /// Checks the fields of a request, each as "Name: value\r\n".
   void OnFields(const std::string& request_id, const std::string& fields) {
@@ -106,6 +115,7 @@
     counts_.after_drain += IsTooLate(draining_since, kMaxTimeAfterDrain, now);
     counts_.after_outage += IsTooLate(outage_since_, kMaxTimeAfterOutage, now);
     counts_.after_leave += IsTooLate(ParseLeaveTime(request_id).value_or(TimePoint::max()), kMaxTimeAfterLeave, now);
+    counts_.in_pause += now < pause_end_ && now - pause_begin_ > kMaxTimeAfterPause ? 1 : 0;
     if (now < cold_until_) {
       cold_arrivals_.push_back(now);
       while (now - cold_arrivals_.front() >= std::chrono::seconds(1)) {
@@ -126,6 +136,8 @@
 
   TimePoint outage_since_ = TimePoint::max();
   TimePoint cold_until_{};
+  TimePoint pause_begin_{};
+  TimePoint pause_end_{};
   std::deque<TimePoint> cold_arrivals_;  // times of the arrivals at the cold searcher within the last second
   ArrivalCounts counts_;
 };
