Enforce the usage caps of customers over all daemons

Change: one daemon, the home of a customer, keeps its token bucket and grants credits of 250 ms to the daemons that receive the requests; its share falls with the daemons that it hears, so that the sides of a cut add up to the cap. Over the cap: 429 with the time of a free token, before anything is queued.

--- a/src/fuzz/heartbeat.cpp
+++ b/src/fuzz/heartbeat.cpp
@@ -4,7 +4,9 @@
 // The input is a sequence of datagrams, each of them a length byte and as many bytes. Length 255 means the rest of
 // the input. Length 0 stands for no datagram but for time that passes.
 #include "fuzz_target.h"
+#include "pimentomoor/gateway_usage.h"
 #include "pimentomoor/member_list.h"
+#include "pimentomoor/platform_codec.h"
 
 namespace pimentomoor::fuzz {
 
@@ -43,6 +45,26 @@
         "the count for budgets is bounded");
 }
 
+// A message about usage caps must not make a daemon grant more credits than the message can ask for.
+void ReceiveUsage(const proto::GatewayUsage& bytes, TimePoint now) {
+  const UsageMember self{.address = "127.0.0.1:2", .incarnation = bytes.receiver_incarnation()};
+  UsageCapExchange exchange(self, now - std::chrono::seconds(4));
+  exchange.SetSettings({.window = std::chrono::seconds(5), .excess = 0.1, .slack = 20});
+  exchange.SetCaps({{1, {.requests_per_s = 1, .burst = 2}}});
+  exchange.SetMembers({}, true, now - std::chrono::seconds(4));
+  for (int tenths = 40; tenths >= 0; --tenths) {
+    exchange.SetContact(1, {}, now - std::chrono::milliseconds(100) * tenths);
+  }
+  try {
+    exchange.Receive(ParseUsageMessage(bytes), now);
+  } catch (const FormatError&) {
+    return;
+  }
+  const auto answers = exchange.TakeMessages(now);
+  Check(answers.size() <= 1 + UsageCapExchange::kMaxItems, "the answers are bounded");
+  Check(exchange.totals().credits_granted <= 8, "no more is granted than the bucket holds");
+}
+
 void ReceiveDatagrams(std::string_view input) {
   MemberList members(MakeSelf(), {.max_members = kMaxMembers});
   TimePoint now = TimePoint() + std::chrono::hours(1);
@@ -55,6 +77,7 @@
       now += std::chrono::milliseconds(1'700);  // longer than heartbeat_timeout
     } else if (heartbeat.ParseFromArray(datagram.data(), static_cast<int>(datagram.size()))) {
       members.Receive(heartbeat, now);
+      ReceiveUsage(heartbeat.usage(), now);
       CheckBounds(members, heartbeat, now);
     }
   }
--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -13,6 +13,7 @@
 #include "pimentomoor/event_loop.h"
 #include "pimentomoor/gateway_peers.h"
 #include "pimentomoor/gateway_settings.h"
+#include "pimentomoor/gateway_usage.h"
 #include "pimentomoor/metrics.h"
 #include "pimentomoor/platform_codec.h"
 #include "pimentomoor/record_feed.h"
@@ -99,6 +100,7 @@
   std::size_t logged_refused_requests_ = 0;
   RequestTracer tracer_;
   SharedRequestContext request_context_;
+  GatewayUsage usage_;
   std::shared_ptr<const RoutingTable> routing_table_;  // null until a routing table has been read
   TimePoint routing_table_since_{};                    // time at which routing_table_ was adopted
   std::array<std::unique_ptr<RecordFeed>, kRecordKindCount> feeds_;
--- a/src/include/pimentomoor/gateway_peers.h
+++ b/src/include/pimentomoor/gateway_peers.h
@@ -21,6 +21,8 @@
   using HeartbeatFiller = std::function<void(proto::GatewayHeartbeat&)>;
   /// Is called with each accepted heartbeat or reply whose sender's state is known; the sender is complete.
   using HeartbeatHandler = std::function<void(const proto::GatewayHeartbeat&)>;
+  /// Is called with each received message about usage caps, of which nothing has been checked.
+  using UsageHandler = std::function<void(const proto::GatewayUsage&)>;
 
   /// Binds the peer address of the sender that `fill_heartbeat` sets. Throws std::system_error with the address when
   /// that fails.
@@ -31,6 +33,12 @@
   /// Sends this daemon's changed state to its heartbeat targets and its live direct peers.
   void Announce();
 
+  void SetUsageHandler(UsageHandler on_usage) { on_usage_ = std::move(on_usage); }
+  /// Sends a message about usage caps to the daemon at a peer address. Returns its size.
+  std::size_t SendUsage(const std::string& address, proto::GatewayUsage usage);
+  /// Last time at which another daemon answered a heartbeat of this one, and so had received it.
+  [[nodiscard]] TimePoint answered_at() const { return answered_at_; }
+
   /// Replaces the seeds, which can change while the daemon runs.
   void SetSeeds(std::vector<std::string> seeds) { exchange_.SetSeeds(std::move(seeds)); }
 
@@ -53,11 +61,14 @@
   void Tick();
   [[nodiscard]] proto::GatewayHeartbeat MakeSelfHeartbeat() const;
   void Send(const std::vector<MemberDatagram>& datagrams);
+  void SendBytes(const std::string& address, const std::string& bytes);
 
   EventLoop& loop_;
   Metrics& metrics_;
   HeartbeatFiller fill_heartbeat_;
   HeartbeatHandler on_heartbeat_;
+  UsageHandler on_usage_ = [](const proto::GatewayUsage&) {};
+  TimePoint answered_at_{};
   MemberExchange exchange_;
   Duration tick_interval_;
   std::unique_ptr<IoSocket> socket_;
--- a/src/include/pimentomoor/gateway_settings.h
+++ b/src/include/pimentomoor/gateway_settings.h
@@ -9,6 +9,7 @@
 #include "pimentomoor/entry_selection.h"
 #include "pimentomoor/request_run.h"
 #include "pimentomoor/upstream_set.h"
+#include "pimentomoor/usage_cap.h"
 
 namespace pimentomoor {
 
@@ -27,6 +28,7 @@
   Duration drain_timeout = std::chrono::seconds(6);  // time from the stop signal until the process is killed
   RetryBudgetSettings retry;
   ColdUpstreamSettings cold_upstreams;  // key `cold`
+  UsageCapSettings usage_caps;          // off without the key `usage_caps`
   RequestSettings requests;
   EntrySelectionSettings entry_selection;
 
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -57,7 +57,15 @@
                        .upstreams = upstreams_,
                        .crashes = crashes_,
                        .settings = settings_.requests,
-                       .tracer = &tracer_} {
+                       .tracer = &tracer_},
+      usage_(loop, metrics_,
+             {.address = settings_.peer_address,
+              .incarnation = incarnation_,
+              .failure_domain = settings_.failure_domain,
+              .capacity_millicores = settings_.capacity_millicores},
+             settings_.usage_caps, [this](const std::string& address, proto::GatewayUsage message) {
+               return peers_->SendUsage(address, std::move(message));
+             }) {
   upstreams_.context().on_crash = [this](const UpstreamRequest& request) {
     crashes_.RecordCrash(request.fingerprint, loop_.Now());
     OnCrashReportsChanged();
@@ -80,6 +88,7 @@
       loop_, metrics_, MemberExchangeOptions{.seeds = settings_.seed_peers},
       [this](proto::GatewayHeartbeat& heartbeat) { FillHeartbeat(heartbeat); },
       [this](const proto::GatewayHeartbeat& heartbeat) { OnHeartbeat(heartbeat); });
+  peers_->SetUsageHandler([this](const proto::GatewayUsage& message) { usage_.Receive(message); });
 }
 
 Gateway::~Gateway() {
@@ -143,7 +152,9 @@
   const bool has_seeds = std::any_of(settings_.seed_peers.begin(), settings_.seed_peers.end(),
                                      [this](const std::string& seed) { return seed != settings_.peer_address; });
   const std::size_t counted = peers_->CountDaemonsForBudgets();
-  upstreams_.SetDaemons(counted == 0 && !has_seeds ? 1 : counted, settings_.caller_address, std::move(others));
+  const std::size_t sharing = counted == 0 && !has_seeds ? 1 : counted;
+  upstreams_.SetDaemons(sharing, settings_.caller_address, std::move(others));
+  usage_.SetPeers(peers_->LivePeers(), peers_->LivePeersVersion(), ready(), sharing, peers_->answered_at());
   ChooseFeedSource();
 }
 
@@ -254,6 +265,7 @@
     routing_table_ = std::make_shared<RoutingTable>(std::move(spec));
     routing_table_since_ = loop_.Now();
     upstreams_.ApplyServices(routing_table_->spec().services);
+    usage_.SetCustomers(routing_table_->spec().customers);
     const CallerLimits& limits = routing_table_->limits();
     caller_server_->SetLimits({.head_bytes = limits.head_bytes, .body_bytes = limits.body_bytes}, limits.head_timeout,
                               limits.idle_timeout);
@@ -538,6 +550,7 @@
   changeable.seed_peers = settings.seed_peers;
   changeable.retry = settings.retry;
   changeable.cold_upstreams = settings.cold_upstreams;
+  changeable.usage_caps = settings.usage_caps;
   changeable.log_level = settings.log_level;
   if (changeable != settings) {
     LogWarn("settings changed that need a restart", {{"host", settings_.host}});
@@ -546,6 +559,7 @@
   request_context_.settings = settings_.requests;
   peers_->SetSeeds(settings_.seed_peers);
   upstreams_.SetBudgets(settings_.retry, settings_.cold_upstreams);
+  usage_.SetSettings(settings_.usage_caps);
   LogInfo("settings applied", {{"host", settings_.host}, {"log_level", settings_.log_level}});
   SetLogLevel(settings_.log_level);
 }
--- a/src/libgateway/gateway_peers.cpp
+++ b/src/libgateway/gateway_peers.cpp
@@ -64,13 +64,25 @@
 void GatewayPeers::Send(const std::vector<MemberDatagram>& datagrams) {
   for (const auto& datagram : datagrams) {
     const std::string bytes = datagram.heartbeat.SerializeAsString();
-    const sockaddr_in receiver = ParseSocketAddress(datagram.receiver_address);
     metrics_.Count("pimentomoor_gateway_heartbeat_bytes_total", bytes.size());
-    sendto(socket_->fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&receiver),
-           sizeof(receiver));
+    SendBytes(datagram.receiver_address, bytes);
   }
 }
 
+std::size_t GatewayPeers::SendUsage(const std::string& address, proto::GatewayUsage usage) {
+  proto::GatewayHeartbeat datagram;
+  *datagram.mutable_usage() = std::move(usage);
+  const std::string bytes = datagram.SerializeAsString();
+  SendBytes(address, bytes);
+  return bytes.size();
+}
+
+void GatewayPeers::SendBytes(const std::string& address, const std::string& bytes) {
+  const sockaddr_in receiver = ParseSocketAddress(address);
+  sendto(socket_->fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&receiver),
+         sizeof(receiver));
+}
+
 void GatewayPeers::OnReadable() {
   static std::array<char, kMaxDatagramBytes> buffer;  // shared by all instances; one thread runs the event loop
   while (true) {
@@ -79,10 +91,12 @@
       return;
     }
     proto::GatewayHeartbeat heartbeat;
-    if (heartbeat.ParseFromArray(buffer.data(), static_cast<int>(received_bytes))) {
-      Receive(std::move(heartbeat));
-    } else {
+    if (!heartbeat.ParseFromArray(buffer.data(), static_cast<int>(received_bytes))) {
       metrics_.Count("pimentomoor_gateway_heartbeats_malformed_total");
+    } else if (heartbeat.has_usage()) {
+      on_usage_(heartbeat.usage());
+    } else {
+      Receive(std::move(heartbeat));
     }
   }
 }
@@ -95,6 +109,9 @@
     metrics_.Count("pimentomoor_gateway_heartbeats_refused_total");
     return;
   }
+  if (heartbeat.reply() && heartbeat.counted_daemons() > 0) {  // announcements and pushes don't set it
+    answered_at_ = loop_.Now();
+  }
   const proto::GatewayMember* sender = exchange_.members().FindDirectPeer(heartbeat.sender().peer_address());
   if (sender != nullptr && sender->incarnation() == heartbeat.sender().incarnation()) {
     *heartbeat.mutable_sender() = *sender;
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -71,6 +71,17 @@
   return cold;
 }
 
+UsageCapSettings ReadUsageCaps(const YamlNode& node, std::string_view source) {
+  constexpr Duration kDefaultWindow = std::chrono::seconds(5);
+  YamlMapReader reader(node, source, "usage_caps");
+  UsageCapSettings caps{.window = kDefaultWindow};
+  reader.CollectErrors([&] { caps.window = OptionalSeconds(reader, "window_s", caps.window); });
+  reader.CollectErrors([&] { caps.excess = OptionalDecimal(reader, "excess", caps.excess, 0, 10); });
+  reader.CollectErrors([&] { caps.slack = OptionalDecimal(reader, "slack", caps.slack, 0, 1'000'000); });
+  reader.Finish();
+  return caps;
+}
+
 // Reads the CPU capacity of this host: share of a core times number of cores.
 std::uint32_t ReadCapacity(YamlMapReader& reader) {
   constexpr double kMaxCores = 1'024;
@@ -118,6 +129,9 @@
   if (const YamlNode* cold = reader.Find("cold"); cold != nullptr) {
     reader.CollectErrors([&] { settings.cold_upstreams = ReadCold(*cold, source); });
   }
+  if (const YamlNode* caps = reader.Find("usage_caps"); caps != nullptr) {
+    reader.CollectErrors([&] { settings.usage_caps = ReadUsageCaps(*caps, source); });
+  }
   reader.Finish();
   return settings;
 }
--- a/src/libgateway/gateway_status.cpp
+++ b/src/libgateway/gateway_status.cpp
@@ -136,6 +136,8 @@
   first = true;
   RenderCounters(out, metrics_, "pimentomoor_run_refused_total", "", first);
   RenderCounters(out, metrics_, "pimentomoor_caller_refused_total", "status ", first);
+  out << "},\n\"customers_over_cap\":{";
+  usage_.RenderOverCap(out);
   out << "},\n\"failures\":{";
   first = true;
   RenderCounters(out, metrics_, "pimentomoor_run_failures_total", "", first);
--- a/src/pimentomoor/gateway_inspection_commands.cpp
+++ b/src/pimentomoor/gateway_inspection_commands.cpp
@@ -75,8 +75,15 @@
   return PrintableText(text);
 }
 
-const TableRow kStatusHeader = {"DAEMON",    "HOST",       "DOMAIN",  "READY",   "TABLE",    "TABLE-AGE", "ALIVE",
-                                "SEARCHERS", "NONE-READY", "RETRIES", "RUNNING", "REFUSALS", "FAILURES",  "STORE"};
+const TableRow kStatusHeader = {"DAEMON",    "HOST",     "DOMAIN",    "READY",      "TABLE",
+                                "TABLE-AGE", "ALIVE",    "SEARCHERS", "NONE-READY", "RETRIES",
+                                "RUNNING",   "OVER-CAP", "REFUSALS",  "FAILURES",   "STORE"};
+
+// Formats the customers over their cap. A daemon of an older build doesn't tell them.
+std::string FormatOverCap(YamlMapReader& map, std::string_view source) {
+  const YamlNode* customers = map.Find("customers_over_cap");
+  return customers == nullptr ? "-" : FormatCounts(*customers, source, "customers_over_cap");
+}
 
 TableRow StatusRow(const std::string& daemon, const std::string& body) {
   const std::string source = "GET " + daemon + "/status";
@@ -96,6 +103,7 @@
           std::to_string(services.services_without_ready),
           services.least_retries_left == UINT64_MAX ? "-" : std::to_string(services.least_retries_left),
           std::to_string(map.RequireUnsigned("running_requests", 0, UINT64_MAX)),
+          FormatOverCap(map, source),
           FormatCounts(map.Require("refusals"), source, "refusals"),
           FormatCounts(map.Require("failures"), source, "failures"),
           SummarizeStore(map.Require("store"), source)};
