--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -56,6 +56,12 @@
   /// Answers 401 to a request without the key of a customer.
   void RefuseAccess(CallerExchange& exchange, const RouteSpec& route, const char* reason);
 
+  /// Runs a request, if its customer has a cap within that.
+  void AdmitRequest(const std::shared_ptr<CallerExchange>& exchange, const RouteSpec& route,
+                    const RequestOwner& owner);
+  /// Answers 429 to a request beyond the cap of its customer.
+  void RefuseOverCap(CallerExchange& exchange, const RouteSpec& route, Duration retry_after);
+
   void OnRoutingRecord(const StoredRecord& record);
   void LogRoutingTable() const;
   void OnUpstreamRecord(const StoredRecord& record);
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -356,8 +356,7 @@
     RefuseAccess(*exchange, *route, access.refusal);
     return;
   }
-  const auto run = std::make_shared<RequestRun>(request_context_, exchange, routing_table_, *route, access.owner);
-  run->Start();
+  AdmitRequest(exchange, *route, access.owner);
 }
 
 void Gateway::RefuseAccess(CallerExchange& exchange, const RouteSpec& route, const char* reason) {
--- a/src/testsuite/usage_simulation.cpp
+++ b/src/testsuite/usage_simulation.cpp
@@ -30,7 +30,7 @@
   }
   UpdateContacts();
   for (std::size_t i = 0; i < customers_.size(); ++i) {
-    ScheduleAt(now_ + Uniform(0, 1), [this, i] { SendRequest(i); });
+    ScheduleRequest(i, Uniform(0, 1));
   }
 }
 
@@ -173,13 +173,30 @@
          std::ranges::all_of(daemons_, [](const Daemon& daemon) { return daemon.exchange != nullptr; });
 }
 
+void UsageSimulation::ScheduleRequest(std::size_t customer, Duration delay) {
+  ScheduleAt(now_ + delay, [this, customer, schedule_number = customers_[customer].schedule_number] {
+    if (customers_[customer].schedule_number == schedule_number) {
+      SendRequest(customer);
+    }
+  });
+}
+
+void UsageSimulation::EndPauses() {
+  for (std::size_t i = 0; i < customers_.size(); ++i) {
+    if (!customers_[i].spec.conforms) {
+      ++customers_[i].schedule_number;
+      ScheduleRequest(i, Duration::zero());
+    }
+  }
+}
+
 void UsageSimulation::SendRequest(std::size_t index) {
   Customer& customer = customers_[index];
   const UsageCap& cap = customer.spec.cap;
   const double rate = std::max(cap.requests_per_s * customer.spec.demand, 0.05);
   // Customers beyond their cap pause at times, so that they come back with a full burst.
   const bool pauses = !customer.spec.conforms && Random(300) == 0;
-  ScheduleAt(now_ + (pauses ? Uniform(2, 10) : Uniform(0, 2 / rate)), [this, index] { SendRequest(index); });
+  ScheduleRequest(index, pauses ? Uniform(2, 10) : Uniform(0, 2 / rate));
   if (customer.spec.conforms) {
     const UsageShare own{.requests_per_s = cap.requests_per_s, .capacity = std::max(1.0, cap.burst)};
     if (GrantUsage(customer.sent, own, {}, {.needed = 1}, now_).granted == 0) {
--- a/src/testsuite/usage_simulation.h
+++ b/src/testsuite/usage_simulation.h
@@ -53,6 +53,8 @@
   void Heal();
   /// Changes a cap. Each daemon applies it up to a second later.
   void ChangeCap(std::size_t customer, const UsageCap& cap);
+  /// Ends the pauses of all customers beyond their cap, so that their bursts come with the next change.
+  void EndPauses();
   void Run(Duration duration) { Advance(duration); }
 
   [[nodiscard]] std::size_t Random(std::size_t below) { return random_() % below; }
@@ -87,7 +89,8 @@
   };
   struct Customer {
     SimulatedCustomer spec;
-    UsageBucket sent;  // what a conforming customer may send
+    UsageBucket sent;                 // what a conforming customer may send
+    std::size_t schedule_number = 0;  // number of EndPauses(); requests that were scheduled before are not sent
     std::vector<TimePoint> admitted;
     std::vector<std::pair<TimePoint, UsageCap>> caps;  // with the time from which each is published
   };
@@ -100,6 +103,7 @@
   void UpdateContacts();
   void ApplyMembers(std::size_t daemon);
   void ApplyCaps(std::size_t daemon);
+  void ScheduleRequest(std::size_t customer, Duration delay);
   void SendRequest(std::size_t customer);
   void ReceiveRequest(std::size_t daemon, std::size_t customer, bool settled);
   void Decide(std::size_t customer, const UsageDecision& decision, bool settled);
