--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -13,6 +13,7 @@
 #include "pimentomoor/event_loop.h"
 #include "pimentomoor/gateway_peers.h"
 #include "pimentomoor/gateway_settings.h"
+#include "pimentomoor/gateway_usage.h"
 #include "pimentomoor/metrics.h"
 #include "pimentomoor/platform_codec.h"
 #include "pimentomoor/record_feed.h"
@@ -55,6 +56,12 @@
   /// Answers 401 to a request without the key of a customer.
   void RefuseAccess(CallerExchange& exchange, const RouteSpec& route, const char* reason);
 
+  /// Runs a request, if its customer has a cap within that.
+  void AdmitRequest(const std::shared_ptr<CallerExchange>& exchange, const RouteSpec& route,
+                    const RequestOwner& owner);
+  /// Answers 429 to a request beyond the cap of its customer.
+  void RefuseOverCap(CallerExchange& exchange, const RouteSpec& route, Duration retry_after);
+
   void OnRoutingRecord(const StoredRecord& record);
   void LogRoutingTable() const;
   void OnUpstreamRecord(const StoredRecord& record);
@@ -104,6 +111,7 @@
   std::size_t logged_refused_requests_ = 0;
   RequestTracer tracer_;
   SharedRequestContext request_context_;
+  GatewayUsage usage_;
   std::shared_ptr<const RoutingTable> routing_table_;  // null until a routing table has been read
   TimePoint routing_table_since_{};                    // time at which routing_table_ was adopted
   std::array<std::unique_ptr<RecordFeed>, kRecordKindCount> feeds_;
--- a/src/include/pimentomoor/gateway_settings.h
+++ b/src/include/pimentomoor/gateway_settings.h
@@ -9,6 +9,7 @@
 #include "pimentomoor/entry_selection.h"
 #include "pimentomoor/request_run.h"
 #include "pimentomoor/upstream_set.h"
+#include "pimentomoor/usage_cap.h"
 
 namespace pimentomoor {
 
@@ -28,6 +29,7 @@
   Duration drain_time = UpstreamHoldSettings().drain_time;  // key `drain_ms`
   RetryBudgetSettings retry;
   ColdUpstreamSettings cold_upstreams;  // key `cold`
+  UsageCapSettings usage_caps;          // off without the key `usage_caps`
   RequestSettings requests;
   EntrySelectionSettings entry_selection;
 
