Move services to ordered versions and take bad ones back

Cause: an operator orders that a service move to upstreams of another version, and nothing in the gateway followed such an order: new upstreams got a full share at once, and no status was written.

Change: daemons follow the store's orders, send the ordered version a part of the requests in steps, each daemon within its own part of the bound, and share counts in heartbeats (field 20). The version is compared with the others over the same time; the verdict is shared and never taken back. The status is written under the object's revision by the first ready daemon, or by the next one after 1 s. Before completion the daemons leave the old upstreams, requests that may not be repeated first. Settings: section rollouts; without it nothing changes and no store call is made.

--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -2,12 +2,14 @@
 // request path, and stops them in order.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "pimentomoor/caller_server.h"
 #include "pimentomoor/event_loop.h"
@@ -21,6 +23,9 @@
 
 namespace pimentomoor {
 
+class GatewayRollouts;
+struct RolloutFleet;
+
 class Gateway {
  public:
   /// Binds all listeners. Throws when an address can't be used. `codec` must outlive the gateway.
@@ -44,6 +49,11 @@
 
  private:
   void BuildFeeds();
+  /// Whether all upstreams are known, and the orders that restrict which of them are used.
+  [[nodiscard]] bool AreUpstreamsKnown() const {
+    return std::all_of(feeds_.begin() + static_cast<std::ptrdiff_t>(RecordKind::kUpstreams), feeds_.end(),
+                       [](const auto& feed) { return feed->kind() == RecordKind::kOutages || feed->loaded(); });
+  }
   void HandleCaller(const std::shared_ptr<CallerExchange>& exchange);
   void HandleReady(const std::shared_ptr<CallerExchange>& exchange);
   void HandleDirectory(const std::shared_ptr<CallerExchange>& exchange);
@@ -79,6 +89,8 @@
   /// Decides for each feed whether this daemon reads changes from the store or from peers.
   void ChooseFeedSource();
   [[nodiscard]] bool IsStoreAvailable() const;
+  void BuildRollouts();
+  [[nodiscard]] RolloutFleet DescribeRolloutFleet();
   void FetchFromPeer(const std::string& address, RecordFeed& feed);
   void Tick();
   /// Updates shared budgets, connection limits and feed sources from the list of live daemons.
@@ -101,7 +113,8 @@
   SharedRequestContext request_context_;
   std::shared_ptr<const RoutingTable> routing_table_;  // null until a routing table has been read
   TimePoint routing_table_since_{};                    // time at which routing_table_ was adopted
-  std::array<std::unique_ptr<RecordFeed>, kRecordKindCount> feeds_;
+  std::vector<std::unique_ptr<RecordFeed>> feeds_;     // by RecordKind; without kRollouts when it isn't followed
+  std::unique_ptr<GatewayRollouts> rollouts_;          // null without settings for roll-outs
   /// Newest revision of one record kind that a peer has announced and this daemon lacks.
   struct PeerRevision {
     std::uint64_t content_revision = 0;
--- a/src/include/pimentomoor/gateway_settings.h
+++ b/src/include/pimentomoor/gateway_settings.h
@@ -2,12 +2,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "pimentomoor/entry_selection.h"
 #include "pimentomoor/request_run.h"
+#include "pimentomoor/rollout.h"
 #include "pimentomoor/upstream_set.h"
 
 namespace pimentomoor {
@@ -26,7 +28,8 @@
   Duration entry_ttl = std::chrono::seconds(2);      // how long callers may cache the directory's answer
   Duration drain_timeout = std::chrono::seconds(6);  // time from the stop signal until the process is killed
   RetryBudgetSettings retry;
-  ColdUpstreamSettings cold_upstreams;  // key `cold`
+  ColdUpstreamSettings cold_upstreams;      // key `cold`
+  std::optional<RolloutSettings> rollouts;  // without it, orders of roll-outs are not followed
   RequestSettings requests;
   EntrySelectionSettings entry_selection;
 
--- a/src/include/pimentomoor/member_exchange.h
+++ b/src/include/pimentomoor/member_exchange.h
@@ -30,8 +30,9 @@
   // the next heartbeat. The rate holds at the shortest heartbeat interval, and falls with the square of a longer one.
   double push_bytes_per_s = 8'000;
   double push_burst_bytes = 12'000;
-  std::size_t max_datagram_bytes = 1'350;      // so that a datagram fits into one packet
-  std::size_t crash_bytes_per_datagram = 600;  // bytes of crash reports; fewer at longer heartbeat intervals
+  std::size_t max_datagram_bytes = 1'350;        // so that a datagram fits into one packet
+  std::size_t rollout_bytes_per_datagram = 600;  // bytes of roll-out reports of other daemons; there are few orders
+  std::size_t crash_bytes_per_datagram = 600;    // bytes of crash reports; fewer at longer heartbeat intervals
   // A change of the load alone reaches all daemons through all relays, which costs bytes in proportion to the daemons
   // of the cell and of the failure domain. So it is announced at most once in (daemons of the cell x daemons of the
   // domain x this time).
@@ -86,6 +87,8 @@
   /// Adds list changes for live direct peers, within the push budget.
   void AddPushes(TimePoint now, std::vector<MemberDatagram>& out);
   void RefillPushBudget(TimePoint now);
+  /// Adds this daemon's roll-out reports to `heartbeat`, and those of others that fit.
+  void AddRolloutReports(proto::GatewayHeartbeat& heartbeat);
   /// Adds `heartbeat` with this daemon's content revisions and those crash reports that fit.
   void AddDatagram(const std::string& address, proto::GatewayHeartbeat heartbeat, std::vector<MemberDatagram>& out);
 
@@ -101,6 +104,7 @@
   std::string last_departed_contacted_;  // peer address after which the next seed round continues
   std::size_t next_crash_report_ =
       0;  // index of the first report in the next datagram; rotates, so that all are sent
+  std::size_t next_rollout_report_ = 0;  // the same for roll-out reports of other daemons
   std::uint64_t pushed_list_version_ = 0;
   double push_budget_bytes_ = 0;
   TimePoint push_budget_refilled_at_;
--- a/src/include/pimentomoor/persistent_http_client.h
+++ b/src/include/pimentomoor/persistent_http_client.h
@@ -1,4 +1,4 @@
-// Client for GET calls to one server over a single persistent connection, one call at a time. Timeouts run on the
+// Client for calls to one server over a single persistent connection, one call at a time. Timeouts run on the
 // clock of the event loop. TCP keep-alive probes detect a connection whose server has become unreachable.
 #pragma once
 
@@ -25,6 +25,9 @@
   /// Starts a GET of `target`, a path with an optional query string. `done` is called from the event loop. A call
   /// that is still running is aborted first, as by Abort().
   void Get(const std::string& target, Duration timeout, Callback done);
+  /// The same for a PUT of `body`, which is JSON. It is sent at most once, unlike a GET, which is sent again when the
+  /// server has closed the idle connection.
+  void Put(const std::string& target, std::string body, Duration timeout, Callback done);
   /// Ends the running call without calling its `done`, and closes the connection.
   void Abort();
 
@@ -33,6 +36,7 @@
  private:
   void OnData(std::string_view bytes) override;
   void OnEnd(StreamEnd end) override;
+  void Start(std::string target, std::optional<std::string> put_body, Duration timeout, Callback done);
   void SendRequest();
   void Finish(std::optional<ResponseMessage> response);
   void CloseStream();
@@ -41,8 +45,9 @@
   const FieldNames& names_;
   std::string address_;
   std::unique_ptr<TcpStream> stream_;
-  std::string target_;  // of the latest call
-  Callback done_;       // set exactly while a call is running
+  std::string target_;                   // of the latest call
+  std::optional<std::string> put_body_;  // set exactly when that call is a PUT
+  Callback done_;                        // set exactly while a call is running
   std::optional<ResponseReader> reader_;
   std::string unparsed_;  // received bytes that reader_ has not consumed
   TimerId timeout_timer_ = 0;
--- a/src/include/pimentomoor/platform_codec.h
+++ b/src/include/pimentomoor/platform_codec.h
@@ -14,16 +14,21 @@
 
 #include "pimentomoor/clock.h"
 #include "pimentomoor/http1_message.h"
+#include "pimentomoor/rollout.h"
 #include "pimentomoor/routing_table.h"
 #include "pimentomoor/upstream_link.h"
 
 namespace pimentomoor {
 
 /// Kinds of records that the gateway follows. Gateway daemons name a kind to each other by its value.
-enum class RecordKind { kRouting, kUpstreams, kOutages };
-constexpr std::size_t kRecordKindCount = 3;
+/// kRollouts is followed only when the settings have roll-outs.
+enum class RecordKind { kRouting, kUpstreams, kOutages, kRollouts };
+constexpr std::size_t kRecordKindCount = 4;
 constexpr std::string_view ToString(RecordKind kind) {
-  return kind == RecordKind::kRouting ? "routing" : kind == RecordKind::kUpstreams ? "upstreams" : "outages";
+  return kind == RecordKind::kRouting     ? "routing"
+         : kind == RecordKind::kUpstreams ? "upstreams"
+         : kind == RecordKind::kOutages   ? "outages"
+                                          : "rollouts";
 }
 
 /// A record with its payload in the platform's format.
@@ -31,6 +36,9 @@
   std::string name;
   std::uint64_t revision = 0;
   std::string payload;
+  // Only of orders of roll-outs: what the system last wrote about the order, and the revision of its creation.
+  std::string status = {};
+  std::uint64_t created_revision = 0;
 
   friend bool operator==(const StoredRecord&, const StoredRecord&) = default;
 };
@@ -62,6 +70,15 @@
   using std::runtime_error::runtime_error;
 };
 
+/// An order of a roll-out and its status in the store.
+struct RolloutRecord {
+  RolloutOrder order;
+  RolloutState state = RolloutState::kNone;  // kNone when the status is of another order
+  std::uint64_t revision = 0;
+
+  friend bool operator==(const RolloutRecord&, const RolloutRecord&) = default;
+};
+
 class PlatformCodec {
  public:
   virtual ~PlatformCodec() = default;
@@ -81,6 +98,15 @@
   [[nodiscard]] virtual RoutingTableSpec ParseRoutingTable(std::string_view payload) const = 0;
   /// Returns nothing when the record names no usable searcher, for example when another writer corrupted it.
   [[nodiscard]] virtual std::optional<UpstreamEntry> ParseUpstream(const StoredRecord& record) const = 0;
+  /// Returns nothing when the record is no usable order.
+  [[nodiscard]] virtual std::optional<RolloutRecord> ParseRollout(const StoredRecord& record) const = 0;
+  /// Request targets that read an order and that write its status.
+  [[nodiscard]] virtual std::string RolloutTarget(std::string_view name) const = 0;
+  [[nodiscard]] virtual std::string RolloutStatusTarget(std::string_view name) const = 0;
+  /// Body of a call that sets the status of an order, on the condition that it still has the revision of `record`.
+  [[nodiscard]] virtual std::string FormatRolloutStatus(const RolloutRecord& record, RolloutState state) const = 0;
+  /// Parses the answer that holds one object. Returns nothing when it is malformed.
+  [[nodiscard]] virtual std::optional<StoredRecord> ParseSingleObject(std::string_view body) const = 0;
   /// Name of the record that holds the routing table.
   [[nodiscard]] virtual std::string_view RoutingRecordName() const = 0;
 
--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -132,6 +132,9 @@
   /// Sends the part to one more upstream. Returns false when there is none or a budget is used up.
   bool SendPart(std::size_t index, Candidates allowed);
   [[nodiscard]] std::shared_ptr<UpstreamLink> ChooseLink(Part& part, Candidates allowed);
+  /// The same among the upstreams that `gate` admits; null admits all.
+  [[nodiscard]] std::shared_ptr<UpstreamLink> ChooseAdmittedLink(Part& part, Candidates allowed,
+                                                                 const VersionGate* gate, VersionScope scope);
   [[nodiscard]] bool MaySendAgain(const Part& part) const;
 
   /// Records that the request ran to its end without crashing an upstream.
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -33,7 +33,7 @@
   std::string address;  // "IP:port"
   std::string failure_domain;
   std::string version;  // version of its software; empty when the upstream names none
-  unsigned slots = 1;  // requests that the upstream runs at a time
+  unsigned slots = 1;   // requests that the upstream runs at a time
   bool draining = false;
   Duration cold_remaining{};        // how long after writing the entry the upstream stays cold
   std::uint64_t start_unix_ms = 0;  // Unix time at which the upstream started
@@ -72,12 +72,20 @@
   virtual void OnExchangeDone(UpstreamExchange& exchange, ExchangeOutcome outcome, ResponseMessage& response) = 0;
 };
 
+/// Sees how an exchange ends, also when its handler no longer needs the answer.
+class ExchangeObserver {
+ public:
+  virtual ~ExchangeObserver() = default;
+  virtual void OnEnd(const UpstreamExchange& exchange, ExchangeOutcome outcome, const ResponseMessage& response) = 0;
+};
+
 /// One attempt to run a request, or one part of it, at one upstream.
 class UpstreamExchange {
  public:
   std::shared_ptr<const UpstreamRequest> request;
-  std::weak_ptr<ExchangeHandler> handler;  // if expired or reset, the outcome only updates the signals
-  std::size_t part_index = 0;              // index of the request's part, for the handler
+  std::unique_ptr<ExchangeObserver> observer;  // null unless an order restricts the versions of the service
+  std::weak_ptr<ExchangeHandler> handler;      // if expired or reset, the outcome only updates the signals
+  std::size_t part_index = 0;                  // index of the request's part, for the handler
   std::shared_ptr<UpstreamLink> link;
   TimePoint deadline;           // the upstream stops work on the request then
   Duration expected_latency{};  // usual latency of requests of this route
--- a/src/include/pimentomoor/upstream_set.h
+++ b/src/include/pimentomoor/upstream_set.h
@@ -13,6 +13,7 @@
 #include "pimentomoor/routing_table.h"
 #include "pimentomoor/shared_budget.h"
 #include "pimentomoor/upstream_link.h"
+#include "pimentomoor/version_gate.h"
 
 namespace pimentomoor {
 
@@ -32,6 +33,7 @@
   RoutedServiceSpec spec;
   std::vector<std::shared_ptr<UpstreamLink>> links;  // links to registered upstreams, ordered by id
   RetryBudgetWindow retry_window;
+  std::shared_ptr<VersionGate> version_gate;  // null unless the service's requests are divided among versions
 };
 
 class UpstreamSet {
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "gateway_rollouts.h"
 #include "pimentomoor/log.h"
 #include "pimentomoor/random.h"
 
@@ -20,6 +21,9 @@
 constexpr Duration kUpstreamRemovalDelay = std::chrono::milliseconds(2'200);
 constexpr Duration kRoutingWatchInterval = std::chrono::milliseconds(120);
 constexpr Duration kUpstreamWatchInterval = std::chrono::milliseconds(400);
+// Wait of the watches for orders of roll-outs in the verifying daemon. An order allows more than ten seconds, so a
+// missed change may show later than for the other kinds.
+constexpr Duration kRolloutShortWatchWait = std::chrono::seconds(5);
 constexpr Duration kAnnounceDelay = std::chrono::milliseconds(2);
 // Time that a starting daemon waits for records from its seeds before it lists the store. Only the first daemon of a
 // failure domain lists the store early; the others wait for the longer time.
@@ -64,6 +68,7 @@
   };
   request_context_.on_crash_reports_changed = [this] { OnCrashReportsChanged(); };
   BuildFeeds();
+  BuildRollouts();
   const auto serve = [this](const std::string& address, std::size_t body_bytes,
                             void (Gateway::*handler)(const std::shared_ptr<CallerExchange>&)) {
     return std::make_unique<CallerServer>(
@@ -94,9 +99,12 @@
 void Gateway::BuildFeeds() {
   const auto build = [this](RecordKind kind, RecordFeed::Handlers handlers, Duration min_watch_interval) {
     handlers.on_store_availability_changed = [this] { ScheduleAnnouncement(); };
-    feeds_[static_cast<std::size_t>(kind)] =
-        std::make_unique<RecordFeed>(loop_, metrics_, codec_, kind, settings_.store_address, std::move(handlers),
-                                     RecordFeedOptions{.min_watch_interval = min_watch_interval});
+    RecordFeedOptions options{.min_watch_interval = min_watch_interval};
+    if (kind == RecordKind::kRollouts) {
+      options.short_watch_wait = kRolloutShortWatchWait;
+    }
+    feeds_.push_back(std::make_unique<RecordFeed>(loop_, metrics_, codec_, kind, settings_.store_address,
+                                                  std::move(handlers), options));
   };
   build(RecordKind::kRouting,
         {.on_put = [this](const StoredRecord& record) { OnRoutingRecord(record); },
@@ -113,6 +121,13 @@
          .on_delete = [](const std::string&) {},
          .on_batch_applied = [this] { OnOutagesChanged(); }},
         kRoutingWatchInterval);
+  if (settings_.rollouts) {
+    build(RecordKind::kRollouts,
+          {.on_put = [](const StoredRecord&) {},
+           .on_delete = [](const std::string&) {},
+           .on_batch_applied = [this] { rollouts_->OnRecords(feed(RecordKind::kRollouts).records()); }},
+          kRoutingWatchInterval);
+  }
 }
 
 void Gateway::Start() {
@@ -121,9 +136,7 @@
   LogInfo("gateway started", {{"host", settings_.host}, {"callers", settings_.caller_address}});
 }
 
-bool Gateway::ready() const {
-  return routing_table_ != nullptr && feed(RecordKind::kUpstreams).loaded() && !on_stopped_;
-}
+bool Gateway::ready() const { return routing_table_ != nullptr && AreUpstreamsKnown() && !on_stopped_; }
 
 void Gateway::Tick() {
   if (loop_.Now() - live_peers_applied_at_ >= kLivePeersInterval) {
@@ -132,6 +145,9 @@
   }
   MeasureLoad();
   upstreams_.Sweep();
+  if (rollouts_ != nullptr) {
+    rollouts_->Tick();
+  }
   CatchUpWithPeers();
   tick_timer_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
 }
@@ -139,7 +155,10 @@
 void Gateway::ApplyLivePeers() {
   // Upstreams' connections are divided among the daemons that the directory names to callers.
   std::vector<std::string> others = DirectoryAddresses();
-  std::erase(others, settings_.caller_address);
+  const bool named = std::erase(others, settings_.caller_address) > 0;
+  if (rollouts_ != nullptr) {
+    rollouts_->RecordServingDaemons(others, named);
+  }
   const bool has_seeds = std::any_of(settings_.seed_peers.begin(), settings_.seed_peers.end(),
                                      [this](const std::string& seed) { return seed != settings_.peer_address; });
   const std::size_t counted = peers_->CountDaemonsForBudgets();
@@ -291,7 +310,12 @@
     loop_.Cancel(removal->second);
     removal_timers_.erase(removal);
   }
+  const std::string service = entry->service;
+  const std::string version = entry->version;
   upstreams_.Announce(std::move(*entry));
+  if (rollouts_ != nullptr) {
+    rollouts_->OnUpstream(service, version, ready());
+  }
 }
 
 void Gateway::OnUpstreamDeleted(const std::string& name) {
@@ -321,7 +345,7 @@
 
 void Gateway::HandleCaller(const std::shared_ptr<CallerExchange>& exchange) {
   const RequestMessage& request = exchange->request;
-  if (routing_table_ == nullptr || !feed(RecordKind::kUpstreams).loaded()) {
+  if (routing_table_ == nullptr || !AreUpstreamsKnown()) {
     metrics_.Count("pimentomoor_run_refused_total", 1, "reason=\"no routing table\"");
     exchange->Respond({.status = 503, .fields = "Retry-After: 0.2\r\n"});
     tracer_.OnRequestEnd(*exchange, {}, {.route = "-", .outcome = "outcome=\"no routing table\"", .status = 503},
@@ -405,6 +429,8 @@
     copy->set_name(record.name);
     copy->set_revision(record.revision);
     copy->set_payload(record.payload);
+    copy->set_status(record.status);
+    copy->set_created_revision(record.created_revision);
   }
   for (const auto& name : delta.existing_names) {
     message.add_names(name);
@@ -439,6 +465,9 @@
     report->set_sightings(entry.sightings);
     report->set_age_s(static_cast<std::uint32_t>(entry.age / std::chrono::seconds(1)));
   }
+  if (rollouts_ != nullptr) {
+    rollouts_->FillHeartbeat(heartbeat);
+  }
   heartbeat.clear_content_revisions();
   for (const auto& feed : feeds_) {
     heartbeat.add_content_revisions(feed->loaded() ? std::max<std::uint64_t>(feed->content_revision(), 1) : 0);
@@ -461,6 +490,9 @@
   if (heartbeat.crashes_size() > 0) {
     LogRefusedRequests();
   }
+  if (rollouts_ != nullptr) {
+    rollouts_->OnHeartbeat(heartbeat);
+  }
   for (const auto& feed : feeds_) {
     const auto index = static_cast<std::size_t>(feed->kind());
     if (static_cast<int>(index) >= heartbeat.content_revisions_size()) {
@@ -519,7 +551,11 @@
     }
     RecordDelta delta{.store_revision = message.store_revision(), .content_revision = message.content_revision()};
     for (const auto& record : message.records()) {
-      delta.changed.push_back({.name = record.name(), .revision = record.revision(), .payload = record.payload()});
+      delta.changed.push_back({.name = record.name(),
+                               .revision = record.revision(),
+                               .payload = record.payload(),
+                               .status = record.status(),
+                               .created_revision = record.created_revision()});
     }
     delta.existing_names.assign(message.names().begin(), message.names().end());
     for (const auto& gone : message.removed()) {
@@ -538,6 +574,9 @@
   changeable.seed_peers = settings.seed_peers;
   changeable.retry = settings.retry;
   changeable.cold_upstreams = settings.cold_upstreams;
+  if (settings_.rollouts && settings.rollouts) {
+    changeable.rollouts = settings.rollouts;
+  }
   changeable.log_level = settings.log_level;
   if (changeable != settings) {
     LogWarn("settings changed that need a restart", {{"host", settings_.host}});
@@ -546,6 +585,9 @@
   request_context_.settings = settings_.requests;
   peers_->SetSeeds(settings_.seed_peers);
   upstreams_.SetBudgets(settings_.retry, settings_.cold_upstreams);
+  if (rollouts_ != nullptr) {
+    rollouts_->SetSettings(*settings_.rollouts);
+  }
   LogInfo("settings applied", {{"host", settings_.host}, {"log_level", settings_.log_level}});
   SetLogLevel(settings_.log_level);
 }
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -71,6 +71,24 @@
   return cold;
 }
 
+RolloutSettings ReadRollouts(const YamlNode& node, std::string_view source) {
+  constexpr double kMinRollbackMs = 100;
+  constexpr double kMaxRollbackMs = 3'600'000;
+  YamlMapReader reader(node, source, "rollouts");
+  RolloutSettings rollouts;
+  reader.CollectErrors(
+      [&] { rollouts.canary_share = OptionalDecimal(reader, "canary_share", rollouts.canary_share, 0, 1); });
+  reader.CollectErrors(
+      [&] { rollouts.canary_slack = OptionalDecimal(reader, "canary_slack", rollouts.canary_slack, 0, 1'000'000); });
+  reader.CollectErrors([&] {
+    const double fallback = std::chrono::duration<double, std::milli>(rollouts.rollback_time).count();
+    rollouts.rollback_time = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
+        OptionalDecimal(reader, "rollback_ms", fallback, kMinRollbackMs, kMaxRollbackMs)));
+  });
+  reader.Finish();
+  return rollouts;
+}
+
 // Reads the CPU capacity of this host: share of a core times number of cores.
 std::uint32_t ReadCapacity(YamlMapReader& reader) {
   constexpr double kMaxCores = 1'024;
@@ -118,6 +136,9 @@
   if (const YamlNode* cold = reader.Find("cold"); cold != nullptr) {
     reader.CollectErrors([&] { settings.cold_upstreams = ReadCold(*cold, source); });
   }
+  if (const YamlNode* rollouts = reader.Find("rollouts"); rollouts != nullptr) {
+    reader.CollectErrors([&] { settings.rollouts = ReadRollouts(*rollouts, source); });
+  }
   reader.Finish();
   return settings;
 }
--- a/src/libgateway/gateway_settings_test.cpp
+++ b/src/libgateway/gateway_settings_test.cpp
@@ -38,6 +38,8 @@
            {"retry:\n  ratio: nan\n", "9", "retry.ratio", "nan"},
            {"retry:\n  window_s: 0.25\n", "9", "retry.window_s", "0.25"},
            {"cold:\n  slacks: 4\n", "9", "cold.slacks", "4"},
+           {"rollouts:\n  canary_share: 1.5\n", "9", "rollouts.canary_share", "1.5"},
+           {"rollouts:\n  rollback_s: 5\n", "9", "rollouts.rollback_s", "5"},
            {"seed_peers: [\"127.0.0.1:1\", \"nowhere\"]\n", "8", "seed_peers", "nowhere"}}) {
     const std::string error = ErrorOf(text);
     CHECK_TEXT(error.starts_with("g.yaml:" + line + ": ") && error.find("'" + key + "'") != error.npos &&
@@ -47,4 +49,15 @@
   CHECK(ErrorOf("", "localhost") == "g.yaml:7: key 'store_address': 'localhost' is not an IP number and a port");
 }
 
+// Guards against store calls for roll-outs in deployments without them, and against bounds that are not read.
+TEST(GatewaySettings, RolloutsAreOffWithoutTheirSection) {
+  const std::string required = std::string(kRequired) + "127.0.0.1:5\n";
+  CHECK_FALSE(ParseGatewaySettings(required, "g.yaml").rollouts.has_value());
+  const auto settings = ParseGatewaySettings(
+      required + "rollouts:\n  canary_share: 0.2\n  canary_slack: 7\n  rollback_ms: 1500\n", "g.yaml");
+  const RolloutSettings expected{
+      .canary_share = 0.2, .canary_slack = 7, .rollback_time = std::chrono::milliseconds(1'500)};
+  CHECK(settings.rollouts == expected);
+}
+
 }  // namespace pimentomoor
--- a/src/libgateway/gateway_status.cpp
+++ b/src/libgateway/gateway_status.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <sstream>
 
+#include "gateway_rollouts.h"
 #include "pimentomoor/gateway.h"
 #include "pimentomoor/http.h"
 #include "pimentomoor/json_text.h"
@@ -121,6 +122,10 @@
   }
   out << "],\n\"upstreams\":" << upstreams_.announced_count() << ",";
   RenderServices(out, upstreams_, now);
+  if (rollouts_ != nullptr) {
+    out << ",\n\"rollouts\":";
+    rollouts_->RenderStatus(out);
+  }
   out << ",\n\"store\":{";
   for (const auto& feed : feeds_) {
     out << (feed->kind() == RecordKind::kRouting ? "" : ",") << JsonQuote(ToString(feed->kind()))
--- a/src/libgateway/member_exchange.cpp
+++ b/src/libgateway/member_exchange.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::size_t kMaxCrashReportBytes = 50;  // encoded in a heartbeat
 constexpr std::size_t kIpUdpHeaderBytes = 28;
+constexpr std::size_t kRolloutReportOverheadBytes = 4;  // tag and length of a report in a heartbeat
 
 // Digest of the crash reports of `heartbeat`; the order of the reports makes no difference.
 std::uint64_t ComputeCrashesDigest(const proto::GatewayHeartbeat& heartbeat) {
@@ -55,11 +56,46 @@
   }
 }
 
+void MemberExchange::AddRolloutReports(proto::GatewayHeartbeat& heartbeat) {
+  const auto& reports = self_heartbeat_.rollouts();
+  if (reports.empty()) {
+    return;
+  }
+  const std::size_t used_bytes = heartbeat.ByteSizeLong() + kMaxCrashReportBytes;
+  std::size_t free_bytes = options_.max_datagram_bytes - std::min(options_.max_datagram_bytes, used_bytes);
+  const auto add_if_it_fits = [&](const proto::RolloutReport& report, std::size_t& budget) {
+    const std::size_t bytes = report.ByteSizeLong() + kRolloutReportOverheadBytes;
+    if (bytes > std::min(budget, free_bytes)) {
+      return false;
+    }
+    budget -= bytes;
+    free_bytes -= bytes;
+    *heartbeat.add_rollouts() = report;
+    return true;
+  };
+  const std::uint64_t self = members_.self().incarnation();
+  const auto others_begin =
+      std::find_if(reports.begin(), reports.end(), [self](const auto& report) { return report.reporter() != self; });
+  std::size_t own_budget = options_.rollout_bytes_per_datagram;
+  for (auto report = reports.begin(); report != others_begin; ++report) {
+    add_if_it_fits(*report, own_budget);
+  }
+  const auto others = static_cast<std::size_t>(reports.end() - others_begin);
+  std::size_t budget = options_.rollout_bytes_per_datagram;
+  for (std::size_t i = 0; i < others; ++i) {
+    if (!add_if_it_fits(*(others_begin + static_cast<std::ptrdiff_t>(next_rollout_report_ % others)), budget)) {
+      break;
+    }
+    ++next_rollout_report_;
+  }
+}
+
 void MemberExchange::AddDatagram(const std::string& address, proto::GatewayHeartbeat heartbeat,
                                  std::vector<MemberDatagram>& out) {
   *heartbeat.mutable_content_revisions() = self_heartbeat_.content_revisions();
   heartbeat.set_interval_ms(static_cast<std::uint32_t>(heartbeat_interval_ / std::chrono::milliseconds(1)));
   heartbeat.set_crashes_digest(crashes_digest_);
+  AddRolloutReports(heartbeat);
   const int report_count = self_heartbeat_.crashes_size();
   if (report_count > 0 && members_.CrashesDigestOf(address) != crashes_digest_) {
     const std::size_t used_bytes = heartbeat.ByteSizeLong() + kMaxCrashReportBytes;
--- a/src/libgateway/object_codec_test.cpp
+++ b/src/libgateway/object_codec_test.cpp
@@ -190,4 +190,30 @@
   }
 }
 
+// Guards against a status of an earlier order that is taken for that of the present one, against an order with
+// missing or odd fields that stops the others, and against a status write without its condition.
+TEST(ObjectCodec, RolloutsAreReadAndTheirStatusIsWrittenUnderACondition) {
+  const std::string spec = R"({"backend":"s","target-version":"v2","duration-s":12})";
+  const auto parse = [&](const std::string& status) {
+    return codec->ParseRollout(
+        {.name = "s", .revision = 7, .payload = spec, .status = status, .created_revision = 5});
+  };
+  const RolloutOrder order{
+      .name = "s", .service = "s", .target_version = "v2", .duration = std::chrono::seconds(12), .created = 5};
+  CHECK((parse("null") == RolloutRecord{.order = order, .revision = 7}));
+  CHECK(parse(R"({"state":"rolled_back","target-version":"v2"})")->state == RolloutState::kRolledBack);
+  CHECK(parse(R"({"state":"complete","target-version":"v1"})")->state == RolloutState::kNone);
+  for (const char* odd : {R"({"backend":"s","target-version":"v2"})", R"({"backend":"s","target-version":2})", "[]",
+                          R"({"backend":"s","target-version":"v2","duration-s":0})", "{", ""}) {
+    CHECK_FALSE(codec->ParseRollout({.name = "s", .revision = 7, .payload = odd}).has_value());
+  }
+  STRCMP_EQUAL("/api/objects/rollouts/a%20b/status", codec->RolloutStatusTarget("a b").c_str());
+  STRCMP_EQUAL(R"({"meta":{"name":"s","rev":7},"status":{"state":"complete","target-version":"v2"}})",
+               codec->FormatRolloutStatus(*parse(""), RolloutState::kComplete).c_str());
+  const auto object = codec->ParseSingleObject(R"({"meta":{"name":"s","rev":8,"created-rev":5},"spec":)" + spec +
+                                               R"(,"status":{"state":"running","target-version":"v2"}})");
+  CHECK(codec->ParseRollout(*object)->state == RolloutState::kRunning);
+  CHECK(codec->ParseRollout(*object)->order == order);
+}
+
 }  // namespace pimentomoor
--- a/src/libgateway/record_feed.cpp
+++ b/src/libgateway/record_feed.cpp
@@ -165,6 +165,10 @@
 
 void RecordFeed::Put(StoredRecord record) {
   content_revision_ = std::max(content_revision_, record.revision);
+  if (kind_ != RecordKind::kRollouts || record.status.size() > options_.max_entry_bytes) {
+    record.status.clear();
+  }
+  record.created_revision = kind_ == RecordKind::kRollouts ? record.created_revision : 0;
   if (kind_ != RecordKind::kRouting && record.payload.size() > options_.max_entry_bytes) {
     metrics_.Count("pimentomoor_store_oversized_records_total");
     record.payload.clear();
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -173,7 +173,9 @@
 std::size_t RequestRun::ServableParts() const {
   return static_cast<std::size_t>(std::count_if(parts_.begin(), parts_.end(), [this](const Part& part) {
     return std::any_of(part.service->links.begin(), part.service->links.end(),
-                       [&](const auto& link) { return context_.upstreams.MayServe(*link); });
+                       [&, gate = part.service->version_gate.get()](const auto& link) {
+                         return context_.upstreams.MayServe(*link) && (gate == nullptr || gate->MayServe(*link));
+                       });
   }));
 }
 
@@ -199,6 +201,20 @@
 }
 
 std::shared_ptr<UpstreamLink> RequestRun::ChooseLink(Part& part, Candidates allowed) {
+  VersionGate* gate = part.service->version_gate.get();
+  if (gate == nullptr) {
+    return ChooseAdmittedLink(part, allowed, nullptr, VersionScope::kAny);
+  }
+  for (const VersionScope scope : gate->ChooseScopes(part.tried_ids.empty(), route_.idempotent)) {
+    if (auto link = ChooseAdmittedLink(part, allowed, gate, scope); link != nullptr) {
+      return link;
+    }
+  }
+  return nullptr;
+}
+
+std::shared_ptr<UpstreamLink> RequestRun::ChooseAdmittedLink(Part& part, Candidates allowed, const VersionGate* gate,
+                                                             VersionScope scope) {
   const TimePoint now = context_.loop.Now();
   std::vector<std::shared_ptr<UpstreamLink>> links;
   std::vector<UpstreamCandidate> candidates;
@@ -208,7 +224,8 @@
       const bool tried =
           std::find(part.tried_ids.begin(), part.tried_ids.end(), link->entry().id) != part.tried_ids.end();
       // An upstream that rejected the request can be asked again when there is no other one.
-      if (!link->usable() || (tried && (pass == 0 || !retry_rejected))) {
+      if (!link->usable() || (gate != nullptr && !gate->Admits(scope, *link)) ||
+          (tried && (pass == 0 || !retry_rejected))) {
         continue;
       }
       const UpstreamCandidate candidate = link->MakeCandidate(now);
@@ -273,6 +290,10 @@
                             : part.running.empty() ? SendReason::kRetry
                                                    : SendReason::kHedge;
   trace_.OnSend(exchange, reason, context_.loop.Now());
+  if (part.service->version_gate != nullptr) {
+    exchange->observer =
+        part.service->version_gate->OnSend(*link, route_.name, reason == SendReason::kFirst, route_.idempotent);
+  }
   part.tried_ids.push_back(link->entry().id);
   part.running.push_back(exchange);
   part.next_send_at =
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -208,6 +208,9 @@
   if (outcome == ExchangeOutcome::kLost) {
     SuspectCrash(exchange);
   }
+  if (const auto observer = std::move(exchange->observer); observer != nullptr) {
+    observer->OnEnd(*exchange, outcome, response);
+  }
   if (response.status == 421) {
     misdirected_ = true;
     ReleaseInadmissible();
--- a/src/libnet/persistent_http_client.cpp
+++ b/src/libnet/persistent_http_client.cpp
@@ -19,10 +19,20 @@
 PersistentHttpClient::~PersistentHttpClient() { loop_.Cancel(timeout_timer_); }
 
 void PersistentHttpClient::Get(const std::string& target, Duration timeout, Callback done) {
+  Start(target, std::nullopt, timeout, std::move(done));
+}
+
+void PersistentHttpClient::Put(const std::string& target, std::string body, Duration timeout, Callback done) {
+  Start(target, std::move(body), timeout, std::move(done));
+}
+
+void PersistentHttpClient::Start(std::string target, std::optional<std::string> put_body, Duration timeout,
+                                 Callback done) {
   if (done_) {
     Abort();
   }
-  target_ = target;
+  target_ = std::move(target);
+  put_body_ = std::move(put_body);
   done_ = std::move(done);
   timeout_timer_ = loop_.CallAfter(timeout, [this] {
     CloseStream();
@@ -41,7 +51,13 @@
   if (stream_ == nullptr) {
     return;  // connecting failed immediately; the timeout timer reports it
   }
-  stream_->Write("GET " + target_ + " HTTP/1.1\r\nHost: " + address_ + "\r\n\r\n");
+  const std::string head = (put_body_ ? "PUT " : "GET ") + target_ + " HTTP/1.1\r\nHost: " + address_ + "\r\n";
+  if (put_body_) {
+    stream_->Write(head + "Content-Type: application/json\r\nContent-Length: " + std::to_string(put_body_->size()) +
+                   "\r\n\r\n" + *put_body_);
+  } else {
+    stream_->Write(head + "\r\n");
+  }
 }
 
 void PersistentHttpClient::Abort() {
@@ -81,7 +97,7 @@
   if (!done_) {
     return;
   }
-  if (reused_connection_ && !reader_->started()) {
+  if (reused_connection_ && !reader_->started() && !put_body_) {
     // The server has closed the idle connection. A GET can safely be sent again over a new one.
     reused_connection_ = false;
     SendRequest();
--- a/src/pimentomoor/gateway_inspection_commands.cpp
+++ b/src/pimentomoor/gateway_inspection_commands.cpp
@@ -101,6 +101,32 @@
           SummarizeStore(map.Require("store"), source)};
 }
 
+const TableRow kRolloutsHeader = {"DAEMON",   "SERVICE",    "VERSION", "STATE",      "AGE",   "STEP",
+                                  "REQUESTS", "OF-VERSION", "BAD",     "OTHERS-BAD", "REASON"};
+
+// Adds a row for each roll-out that the daemon follows.
+void AddRolloutRows(const std::string& daemon, const std::string& body, std::vector<TableRow>& rows) {
+  const std::string source = "GET " + daemon + "/status";
+  const YamlNode root = ParseStrictYaml(body, source);
+  YamlMapReader map(root, source, "");
+  for (const YamlNode& item : map.OptionalSequence("rollouts", kMaxSequenceItems)) {
+    YamlMapReader rollout(item, source, "rollouts");
+    const auto number = [&rollout](const char* key) {
+      return std::to_string(rollout.RequireUnsigned(key, 0, UINT64_MAX));
+    };
+    const std::string reason = rollout.OptionalText("reason", kMaxTextBytes);
+    rows.push_back({daemon, PrintableText(rollout.RequireText("service", kMaxTextBytes)),
+                    PrintableText(rollout.OptionalText("version", kMaxTextBytes)),
+                    PrintableText(rollout.RequireText("state", kMaxTextBytes)),
+                    FormatSeconds(rollout.Require("age_ms"), source, "age_ms") + "/" +
+                        FormatSeconds(rollout.Require("duration_ms"), source, "duration_ms"),
+                    number("step"), number("requests"), number("target_requests"),
+                    number("target_bad") + "/" + number("target_answers"),
+                    number("other_bad") + "/" + number("other_answers"),
+                    reason.empty() ? "-" : PrintableText(reason)});
+  }
+}
+
 // Calls `handle_answer(i, body)` for the answer of daemon i. Prints an error for each daemon without an answer or
 // with a malformed one, and returns the number of these daemons.
 template <typename Handler>
@@ -131,10 +157,17 @@
     for (const std::string& daemon : daemons) {
       rows.emplace_back(kStatusHeader.size(), "-").front() = daemon;
     }
+    std::vector<TableRow> rollouts = {kRolloutsHeader};
     const std::size_t failed_daemons =
-        HandleAnswers(args[0], daemons, results,
-                      [&](std::size_t i, const std::string& body) { rows[i + 1] = StatusRow(daemons[i], body); });
+        HandleAnswers(args[0], daemons, results, [&](std::size_t i, const std::string& body) {
+          rows[i + 1] = StatusRow(daemons[i], body);
+          AddRolloutRows(daemons[i], body, rollouts);
+        });
     PrintTable(rows);
+    if (rollouts.size() > 1) {
+      std::cout << "\n";
+      PrintTable(rollouts);
+    }
     return failed_daemons == 0 ? 0 : 1;
   });
 }
--- a/src/testsuite/gateway_searchers.h
+++ b/src/testsuite/gateway_searchers.h
@@ -59,8 +59,14 @@
  public:
   /// The instance id is "SERVICE-REPLICA", the failure domain "zone-REPLICA".
   GatewaySearcher(EventLoop& loop, Metrics& metrics, GatewayStore& store, const std::string& service,
-                  const std::string& replica, const std::string& address)
-      : loop_(loop), metrics_(metrics), store_(store), service_(service), replica_(replica), address_(address) {
+                  const std::string& replica, const std::string& address, const std::string& version = "")
+      : loop_(loop),
+        metrics_(metrics),
+        store_(store),
+        service_(service),
+        replica_(replica),
+        address_(address),
+        version_(version) {
     Listen();
     Announce();
   }
@@ -133,6 +139,7 @@
                                              .service = service_,
                                              .address = address_,
                                              .failure_domain = failure_domain(),
+                                             .version = version_,
                                              .slots = kSlots,
                                              .draining = draining_since_ != TimePoint::max(),
                                              .cold_remaining = cold_remaining,
@@ -208,7 +215,7 @@
   EventLoop& loop_;
   Metrics& metrics_;
   GatewayStore& store_;
-  const std::string service_, replica_, address_;
+  const std::string service_, replica_, address_, version_;
   std::unique_ptr<CallerServer> server_;           // null during kGone and kEndless
   std::unique_ptr<EndlessServer> endless_server_;  // set exactly during kEndless
   std::deque<Exchange> queue_;
--- a/src/testsuite/gateway_store.h
+++ b/src/testsuite/gateway_store.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "json_fields.h"
 #include "pimentomoor/caller_server.h"
 #include "pimentomoor/http.h"
 #include "standin_formats.h"
@@ -25,16 +26,31 @@
 
   /// Creates, replaces or deletes an object, and answers the watches of its kind. `spec` is JSON and isn't checked.
   void ChangeObject(const std::string& kind, const std::string& name, const std::string& spec, bool deleted = false) {
-    const std::string object = FormatObject(name, ++revision_, spec);
+    ++revision_;
+    const auto found = objects_[kind].find(name);
+    Object object{.spec = spec, .revision = revision_, .created_revision = revision_};
+    if (found != objects_[kind].end()) {
+      object.status = found->second.status;
+      object.created_revision = found->second.created_revision;
+    }
     if (deleted) {
       objects_[kind].erase(name);
     } else {
       objects_[kind][name] = object;
     }
-    history_[kind][revision_] = FormatEvent(object, deleted);
-    std::erase_if(watches_, [&](const auto& entry) { return RespondWatch(entry.second, false); });
+    Publish(kind, Format(name, object), deleted);
   }
 
+  /// Status of an object in JSON; "null" when it has none.
+  [[nodiscard]] std::string StatusOf(const std::string& kind, const std::string& name) {
+    const auto found = objects_[kind].find(name);
+    return found == objects_[kind].end() ? "null" : found->second.status;
+  }
+
+  /// Does the next `count` writes of a status without answering them.
+  void LoseStatusAnswers(unsigned count) { lost_status_answers_ = count; }
+  [[nodiscard]] unsigned status_writes() const { return status_writes_; }
+
   /// In mode kUnavailable the store answers 503, in kSilent it doesn't answer. A change of mode leaves the waiting
   /// watches without an answer.
   void SetMode(Mode mode) {
@@ -59,6 +75,12 @@
   static constexpr std::string_view kObjectsPath = platform_names::kObjectsPath;
   static constexpr std::size_t kPageSize = 50;
 
+  struct Object {
+    std::string spec;
+    std::string status = "null";
+    std::uint64_t revision = 0;
+    std::uint64_t created_revision = 0;
+  };
   struct Watch {
     std::shared_ptr<CallerExchange> exchange;
     std::string kind;
@@ -66,6 +88,45 @@
     bool misses_changes = false;
   };
 
+  static std::string Format(const std::string& name, const Object& object) {
+    return FormatObject(name, object.revision, object.spec, object.status, object.created_revision);
+  }
+
+  void Publish(const std::string& kind, const std::string& object, bool deleted) {
+    history_[kind][revision_] = FormatEvent(object, deleted);
+    std::erase_if(watches_, [&](const auto& entry) { return RespondWatch(entry.second, false); });
+  }
+
+  // Writes the status of an object, on the condition that it has the revision that the call names.
+  void WriteStatus(const std::shared_ptr<CallerExchange>& exchange, const std::string& kind,
+                   const std::string& name) {
+    const auto found = objects_[kind].find(name);
+    if (found == objects_[kind].end()) {
+      exchange->Respond({.status = 404});
+      return;
+    }
+    Object& object = found->second;
+    const auto document = ParseJson(exchange->request.body, "status");
+    if (RequireUint64(RequireField(document, platform_names::kMeta), platform_names::kRevision) != object.revision) {
+      exchange->Respond({.status = 409, .body = Format(name, object)});
+      return;
+    }
+    const std::string& body = exchange->request.body;
+    const std::string key = std::string("\"") + platform_names::kStatus + "\":";
+    const std::size_t begin = body.find(key) + key.size();
+    object.status = body.substr(begin, body.rfind('}') - begin);
+    object.revision = ++revision_;
+    ++status_writes_;
+    const std::string text = Format(name, object);
+    Publish(kind, text, false);
+    if (lost_status_answers_ > 0) {
+      --lost_status_answers_;
+      unanswered_.push_back(exchange);
+    } else {
+      exchange->Respond({.body = text});
+    }
+  }
+
   // Answers a watch that has events or whose wait has expired. Returns whether it did.
   bool RespondWatch(const Watch& watch, bool wait_expired) {
     std::string events;
@@ -95,11 +156,18 @@
     const std::string path(request.path().substr(kObjectsPath.size()));
     const std::string kind = path.substr(0, path.find('/'));
     const std::string query = request.target.substr(std::min(request.path().size() + 1, request.target.size()));
-    if (request.method != "GET") {
+    const std::string name = path.substr(std::min(kind.size() + 1, path.size()));
+    constexpr std::string_view kStatusSuffix = "/status";
+    if (request.method == "PUT" && name.ends_with(kStatusSuffix)) {
+      WriteStatus(exchange, kind, name.substr(0, name.size() - kStatusSuffix.size()));
+    } else if (request.method != "GET") {
       const bool deleted = request.method == "DELETE";
-      ChangeObject(kind, path.substr(std::min(kind.size() + 1, path.size())), deleted ? "null" : request.body,
-                   deleted);
+      ChangeObject(kind, name, deleted ? "null" : request.body, deleted);
       exchange->Respond({});
+    } else if (!name.empty()) {
+      const auto found = objects_[kind].find(name);
+      exchange->Respond(found == objects_[kind].end() ? OutgoingResponse{.status = 404}
+                                                      : OutgoingResponse{.body = Format(name, found->second)});
     } else if (const std::string after = QueryParameter(query, "watch"); !after.empty()) {
       StartWatch({.exchange = exchange, .kind = kind, .after = std::stoull(after)},
                  std::chrono::milliseconds(std::atoi(QueryParameter(query, "wait-ms").c_str())));
@@ -108,7 +176,7 @@
       std::string items;
       auto next = objects.upper_bound(QueryParameter(query, "after"));
       for (std::size_t i = 0; i < kPageSize && next != objects.end(); ++i, ++next) {
-        items += (items.empty() ? "" : ",") + next->second;
+        items += (items.empty() ? "" : ",") + Format(next->first, next->second);
       }
       exchange->Respond({.body = FormatPage(items, next != objects.end(), revision_)});
     }
@@ -131,10 +199,12 @@
   Mode mode_ = Mode::kNormal;
   std::uint64_t revision_ = 1;
   std::uint64_t oldest_watch_revision_ = 1;                              // watches from earlier revisions get 410
-  std::map<std::string, std::map<std::string, std::string>> objects_;    // JSON by kind and name
+  std::map<std::string, std::map<std::string, Object>> objects_;         // by kind and name
   std::map<std::string, std::map<std::uint64_t, std::string>> history_;  // JSON by kind and revision
   std::map<std::uint64_t, Watch> watches_;
   std::uint64_t next_watch_id_ = 1;
+  unsigned lost_status_answers_ = 0;
+  unsigned status_writes_ = 0;
   std::vector<std::shared_ptr<CallerExchange>> unanswered_;  // calls that never get an answer, kept open
   CallerServer server_;
 };
