--- a/src/include/pimentomoor/gateway_settings.h
+++ b/src/include/pimentomoor/gateway_settings.h
@@ -2,12 +2,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "pimentomoor/entry_selection.h"
 #include "pimentomoor/request_run.h"
+#include "pimentomoor/rollout.h"
 #include "pimentomoor/upstream_set.h"
 #include "pimentomoor/usage_cap.h"
 
@@ -30,6 +32,7 @@
   RetryBudgetSettings retry;
   ColdUpstreamSettings cold_upstreams;  // key `cold`
   UsageCapSettings usage_caps;          // off without the key `usage_caps`
+  std::optional<RolloutSettings> rollouts;  // without it, orders of roll-outs are not followed
   RequestSettings requests;
   EntrySelectionSettings entry_selection;
 
--- a/src/include/pimentomoor/member_exchange.h
+++ b/src/include/pimentomoor/member_exchange.h
@@ -34,6 +34,7 @@
   std::size_t crash_bytes_per_datagram = 600;  // bytes of crash reports; fewer at longer heartbeat intervals
   // Bytes of reports of leaving upstreams; fewer at longer heartbeat intervals.
   std::size_t leaving_bytes_per_datagram = 400;
+  std::size_t rollout_bytes_per_datagram = 600;  // bytes of roll-out reports of other daemons; there are few orders
   // A change of the load alone reaches all daemons through all relays, which costs bytes in proportion to the daemons
   // of the cell and of the failure domain. So it is announced at most once in (daemons of the cell x daemons of the
   // domain x this time).
@@ -89,6 +90,8 @@
   /// Adds list changes for live direct peers, within the push budget.
   void AddPushes(TimePoint now, std::vector<MemberDatagram>& out);
   void RefillPushBudget(TimePoint now);
+  /// Adds this daemon's roll-out reports to `heartbeat`, and those of others that fit.
+  void AddRolloutReports(proto::GatewayHeartbeat& heartbeat);
   /// Adds `heartbeat` with this daemon's content revisions and those reports that fit.
   void AddDatagram(const std::string& address, proto::GatewayHeartbeat heartbeat, std::vector<MemberDatagram>& out);
   void AddCrashReports(const std::string& address, proto::GatewayHeartbeat& heartbeat);
@@ -108,6 +111,7 @@
   // Index of the first report in the next datagram; rotates, so that all are sent.
   std::size_t next_crash_report_ = 0;
   std::size_t next_leaving_report_ = 0;
+  std::size_t next_rollout_report_ = 0;  // the same for roll-out reports of other daemons
   std::uint64_t pushed_list_version_ = 0;
   double push_budget_bytes_ = 0;
   TimePoint push_budget_refilled_at_;
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -74,12 +74,20 @@
   virtual void OnExchangeDone(UpstreamExchange& exchange, ExchangeOutcome outcome, ResponseMessage& response) = 0;
 };
 
+/// Sees how an exchange ends, also when its handler no longer needs the answer.
+class ExchangeObserver {
+ public:
+  virtual ~ExchangeObserver() = default;
+  virtual void OnEnd(const UpstreamExchange& exchange, ExchangeOutcome outcome, const ResponseMessage& response) = 0;
+};
+
 /// One attempt to run a request, or one part of it, at one upstream.
 class UpstreamExchange {
  public:
   std::shared_ptr<const UpstreamRequest> request;
-  std::weak_ptr<ExchangeHandler> handler;  // if expired or reset, the outcome only updates the signals
-  std::size_t part_index = 0;              // index of the request's part, for the handler
+  std::unique_ptr<ExchangeObserver> observer;  // null unless an order restricts the versions of the service
+  std::weak_ptr<ExchangeHandler> handler;      // if expired or reset, the outcome only updates the signals
+  std::size_t part_index = 0;                  // index of the request's part, for the handler
   std::shared_ptr<UpstreamLink> link;
   TimePoint deadline;           // the upstream stops work on the request then
   Duration expected_latency{};  // usual latency of requests of this route
