Decide admission before a request is queued, and order queues by priority and customer

Change: DecideAdmission() refuses a request whose wait at standing queues is too long; Retry-After follows the rate at which requests find room. Queues are ordered by priority, customers' turns and deadline, and requests leave them when it is too late. A gather is queued at all shards or none and ends when it is out of reach. Hedges only go where nothing waits.

--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "pimentomoor/admission.h"
 #include "pimentomoor/caller_server.h"
 #include "pimentomoor/crash_reports.h"
 #include "pimentomoor/hedge_policy.h"
@@ -44,7 +45,8 @@
   Duration refusal_retry_after = std::chrono::milliseconds(60);  // value of Retry-After in a refusal
   // The same for a request that crashes upstreams, which no daemon will run.
   Duration crash_refusal_retry_after = std::chrono::seconds(30);
-  bool naive = false;  // round robin over upstreams and no hedges
+  AdmissionSettings admission;
+  bool naive = false;  // round robin over upstreams, no hedges, and naive admission
 
   friend bool operator==(const RequestSettings&, const RequestSettings&) = default;
 };
@@ -52,7 +54,21 @@
 /// Latencies of the exchanges of one route.
 struct RouteLatency {
   LatencyWindow window;
-  Duration expected{};  // smoothed latency
+  Duration expected{};        // smoothed latency
+  Duration least{};           // low quantile of the window; zero with few samples
+  Duration usual{};           // its median; zero with few samples
+  unsigned unread_samples{};  // recorded since the quantiles were taken
+};
+
+/// What admission knows beside the queues of upstreams, see admission.h.
+struct AdmissionState {
+  CustomerDemand demand;
+  std::map<std::string, ReturnSchedule> returns;  // by route name
+  ToldReturns told_returns;
+  OverloadState overload;
+  std::map<std::pair<std::string, unsigned>, std::string> labels;  // of metrics, by route name and priority; bounded
+  std::set<std::string> waiting_labels;                            // of the gauges that are not 0
+  TimePoint gauges_updated_at{};
 };
 
 class RequestRun;
@@ -69,17 +85,21 @@
   RequestSettings settings;
   std::map<std::string, RouteLatency> latencies;           // by route name
   std::map<std::string, WeightedChooser> target_choosers;  // by route name
-  LagEstimate loop_lag;                                    // lag of this daemon's event loop
-  std::uint64_t parts_sent = 0;                            // exchanges sent to upstreams
-  std::size_t next_tie_break = 0;                          // counter that rotates between upstreams of equal score
-  RequestTracer* tracer = nullptr;                         // nothing is recorded when null
-  TimePoint answer_by = TimePoint::max();                  // all requests are answered before; set by a planned stop
-  std::set<RequestRun*> running;                           // requests that are neither answered nor abandoned
+  AdmissionState admission;
+  LagEstimate loop_lag;                    // lag of this daemon's event loop
+  std::uint64_t parts_sent = 0;            // exchanges sent to upstreams
+  std::size_t next_tie_break = 0;          // counter that rotates between upstreams of equal score
+  RequestTracer* tracer = nullptr;         // nothing is recorded when null
+  TimePoint answer_by = TimePoint::max();  // all requests are answered before; set by a planned stop
+  std::set<RequestRun*> running;           // requests that are neither answered nor abandoned
 };
 
 /// Sets the time by which all requests are answered, those that run and those that arrive from now on.
 void LimitRequests(SharedRequestContext& context, TimePoint answer_by);
 
+/// Logs the end of an overload and updates the gauges of waiting requests. Must be called regularly.
+void UpdateAdmission(SharedRequestContext& context);
+
 class RequestRun final : public ExchangeHandler, public std::enable_shared_from_this<RequestRun> {
  public:
   RequestRun(SharedRequestContext& context, std::shared_ptr<CallerExchange> caller,
@@ -89,6 +109,10 @@
   void Start();
   /// Applies a changed SharedRequestContext::answer_by.
   void ApplyAnswerBy();
+  /// Whether a part of the request waits for a connection.
+  [[nodiscard]] bool IsWaiting() const;
+  /// Labels of the request's route and priority in metrics.
+  [[nodiscard]] const std::string& AdmissionLabels() const;
 
  private:
   /// One shard of a gathered request, or the whole of any other request.
@@ -130,6 +154,24 @@
   bool SendPart(std::size_t index, Candidates allowed);
   [[nodiscard]] std::shared_ptr<UpstreamLink> ChooseLink(Part& part, Candidates allowed);
   [[nodiscard]] bool MaySendAgain(const Part& part) const;
+  /// Whether the part has run, or may have run, as often as its route allows.
+  [[nodiscard]] bool HasUsedAttempts(const Part& part) const;
+
+  /// Decides whether the request may be queued, and refuses it otherwise. Returns whether it may.
+  bool Admit();
+  [[nodiscard]] bool naive_admission() const { return context_.settings.naive || context_.settings.admission.naive; }
+  [[nodiscard]] AdmissionRequest MakeAdmissionRequest() const;
+  [[nodiscard]] PartRoom RoomOf(const Part& part) const;
+  /// Whether a hedge may go to the upstream.
+  [[nodiscard]] bool MayHedgeTo(const UpstreamLink& link) const;
+  /// Whether the part has its answer or can still get it in time.
+  [[nodiscard]] bool IsWithinReach(const Part& part, const AdmissionRequest& request) const;
+  /// Ends a request that can no longer succeed. Returns whether it did.
+  bool EndIfOutOfReach();
+  /// Refuses a request for which there is no room, and tells its caller when to return.
+  void RefuseForRoom(const AdmissionDecision& decision, const char* reason);
+  /// Counts the longest time that a part waited for a connection.
+  void RecordWait();
 
   /// Records that the request ran to its end without crashing an upstream.
   void RecordSuccess();
@@ -164,6 +206,8 @@
   TimerId timer_ = 0;
   TimePoint timer_due_at_{};
   bool may_have_run_ = false;
+  QueuePlace place_;                       // place of each part in the queues of upstreams
+  Duration waited_{};                      // longest time that a part waited for a connection
   ResponseMessage last_failure_response_;  // last error of an upstream that ran the request; status 0: none
   bool finished_ = false;
   RequestTrace trace_;
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "pimentomoor/admission.h"
 #include "pimentomoor/buffer_budget.h"
 #include "pimentomoor/event_loop.h"
 #include "pimentomoor/http1_message.h"
@@ -33,7 +34,7 @@
   std::string address;  // "IP:port"
   std::string failure_domain;
   std::string version;  // version of its software; empty when the upstream names none
-  unsigned slots = 1;  // requests that the upstream runs at a time
+  unsigned slots = 1;   // requests that the upstream runs at a time
   bool draining = false;
   Duration cold_remaining{};        // how long after writing the entry the upstream stays cold
   std::uint64_t start_unix_ms = 0;  // Unix time at which the upstream started
@@ -81,6 +82,8 @@
   std::shared_ptr<UpstreamLink> link;
   TimePoint deadline;           // the upstream stops work on the request then
   Duration expected_latency{};  // usual latency of requests of this route
+  Duration least_work{};        // an unsent request leaves the queue when less than this is left until the deadline
+  QueuePlace place;             // place in the queue; the link sets its turn and its deadline
   TimePoint sent_at{};
   TimePoint give_up_at{};  // the connection is closed then if there is no answer
   bool sent = false;
@@ -160,6 +163,10 @@
   void SetColdFor(Duration left, TimePoint now);
   /// Describes the upstream for the choice between upstreams.
   [[nodiscard]] UpstreamCandidate MakeCandidate(TimePoint now) const;
+  [[nodiscard]] bool has_waiting() const { return !waiting_.empty(); }
+  /// What the upstream offers to a request with this place.
+  [[nodiscard]] UpstreamRoom RoomFor(const QueuePlace& place, TimePoint now) const;
+  [[nodiscard]] HedgeTarget MakeHedgeTarget() const;
   [[nodiscard]] bool busy() const { return !connections_.empty() || !waiting_.empty(); }
 
   UpstreamSignals signals;
@@ -180,6 +187,10 @@
   void Finish(const UpstreamExchangePtr& exchange, ExchangeOutcome outcome, ResponseMessage response);
   /// Ends the queued exchanges of which `predicate` is true with kNotSent.
   void ReleaseWaiting(const std::function<bool(const UpstreamExchange&)>& predicate);
+  /// Takes the requests that can no longer be answered in time out of the queue, wherever they stand in it.
+  void RemoveHopeless(TimePoint now);
+  /// Brings the history of the queue up to date after a change of waiting_.
+  void RecordQueueChange(unsigned departures = 0);
   void RemoveConnection(UpstreamConnection* connection);
   /// Remembers a lost request, which may have crashed the upstream. Opens a connection if there is none, because a
   /// refused connection confirms the crash.
@@ -191,7 +202,9 @@
   LinkContext& context_;
   UpstreamEntry entry_;
   std::vector<std::unique_ptr<UpstreamConnection>> connections_;  // newest first; idle ones are used from the back
-  std::deque<UpstreamExchangePtr> waiting_;  // queued, oldest first; empty while the upstream is not usable
+  std::deque<UpstreamExchangePtr> waiting_;  // in the order of GoesBefore(); empty while the upstream is not usable
+  ServedTurns served_turns_;                 // empty while waiting_ is
+  QueueHistory queue_history_;
   std::vector<std::pair<TimePoint, std::shared_ptr<const UpstreamRequest>>>
       crash_suspects_;                           // recently lost requests, with the time of the loss
   std::vector<UpstreamExchangePtr> unanswered_;  // sent and not done, oldest first
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -132,6 +132,7 @@
   }
   MeasureLoad();
   upstreams_.Sweep();
+  UpdateAdmission(request_context_);
   CatchUpWithPeers();
   tick_timer_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
 }
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -71,6 +71,14 @@
   return cold;
 }
 
+AdmissionSettings ReadAdmission(const YamlNode& node, std::string_view source) {
+  YamlMapReader reader(node, source, "admission");
+  AdmissionSettings admission;
+  reader.CollectErrors([&] { admission.naive = reader.OptionalBool("naive", false); });
+  reader.Finish();
+  return admission;
+}
+
 // Reads the CPU capacity of this host: share of a core times number of cores.
 std::uint32_t ReadCapacity(YamlMapReader& reader) {
   constexpr double kMaxCores = 1'024;
@@ -118,6 +126,9 @@
   if (const YamlNode* cold = reader.Find("cold"); cold != nullptr) {
     reader.CollectErrors([&] { settings.cold_upstreams = ReadCold(*cold, source); });
   }
+  if (const YamlNode* admission = reader.Find("admission"); admission != nullptr) {
+    reader.CollectErrors([&] { settings.requests.admission = ReadAdmission(*admission, source); });
+  }
   reader.Finish();
   return settings;
 }
--- a/src/libgateway/request_answer.cpp
+++ b/src/libgateway/request_answer.cpp
@@ -19,6 +19,7 @@
 
 void RequestRun::Respond(const OutgoingResponse& response, const char* outcome) {
   MarkFinished();
+  RecordWait();
   context_.metrics.Count("pimentomoor_run_answers_total", 1, outcome);
   caller_->Respond(response);
   RecordTrace(response.status, outcome);
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -25,6 +25,11 @@
 constexpr double kStopLatencyQuantile = 0.99;
 // Least time that a part gets, and least time between the objective and its deadline.
 constexpr Duration kMinPartTime = std::chrono::milliseconds(60);
+// Work of a route, as quantiles of its latencies. The low one is that of answers that met no queue at the upstream.
+constexpr double kLeastWorkQuantile = 0.02;
+constexpr double kUsualWorkQuantile = 0.5;
+constexpr std::uint32_t kMinWorkSamples = 50 * LatencyWindow::kSampleWeight;
+constexpr unsigned kSamplesPerQuantile = 16;  // the quantiles change slowly, and reading one visits all buckets
 
 Duration Share(Duration whole, double share) {
   return Duration(static_cast<Duration::rep>(static_cast<double>(whole.count()) * share));
@@ -47,6 +52,11 @@
   Record(latency.window, sample);
   const Duration capped = std::min(sample, Share(latency.expected, kMaxSampleRatio));
   latency.expected += Share(capped - latency.expected, kLatencySmoothing);
+  if (++latency.unread_samples >= kSamplesPerQuantile && latency.window.total >= kMinWorkSamples) {
+    latency.unread_samples = 0;
+    latency.least = *Quantile(latency.window, kLeastWorkQuantile);
+    latency.usual = *Quantile(latency.window, kUsualWorkQuantile);
+  }
 }
 
 }  // namespace
@@ -137,6 +147,9 @@
     Refuse();
     return;
   }
+  if (!Admit()) {
+    return;
+  }
   for (std::size_t i = 0; i < parts_.size() && !finished_; ++i) {
     if (!SendPart(i, Candidates::kUntried)) {
       parts_[i].next_send_at = context_.loop.Now() + context_.settings.retry_pause;
@@ -203,6 +216,9 @@
       if (!link->usable() || (tried && (pass == 0 || !retry_rejected))) {
         continue;
       }
+      if (!part.running.empty() && !MayHedgeTo(*link)) {
+        continue;
+      }
       const UpstreamCandidate candidate = link->MakeCandidate(now);
       if (tried && candidate.last_resort) {
         continue;
@@ -233,10 +249,11 @@
       context_.crashes.IsRefused(request_->fingerprint, context_.loop.Now())) {
     return false;
   }
-  if (part.may_have_run_count >= route_.max_attempts || (!route_.idempotent && part.may_have_run_count > 0)) {
-    return false;
-  }
-  return context_.upstreams.MayRetry(*part.service);
+  return !HasUsedAttempts(part) && context_.upstreams.MayRetry(*part.service);
+}
+
+bool RequestRun::HasUsedAttempts(const Part& part) const {
+  return part.may_have_run_count >= route_.max_attempts || (!route_.idempotent && part.may_have_run_count > 0);
 }
 
 bool RequestRun::SendPart(std::size_t index, Candidates allowed) {
@@ -254,6 +271,8 @@
   exchange->part_index = index;
   exchange->deadline = PartDeadline();
   exchange->expected_latency = latency_.expected;
+  exchange->least_work = naive_admission() ? Duration::zero() : latency_.least;
+  exchange->place = place_;
   if (part.sent_count > 0) {
     context_.upstreams.CountExtraRequest(*part.service);
     context_.metrics.Count("pimentomoor_run_extra_sends_total");
@@ -322,10 +341,16 @@
   if (is_gather()) {
     RespondIfGatherReady();
   }
+  if (EndIfOutOfReach()) {
+    return;
+  }
   for (std::size_t i = 0; i < parts_.size() && !finished_; ++i) {
     Part& part = parts_[i];
     if (!part.done && now >= part.next_send_at && !SendPart(i, Candidates::kAll)) {
-      part.next_send_at = now + context_.settings.retry_pause;
+      // A hedge is less urgent than a part that runs nowhere.
+      const Duration pause =
+          part.running.empty() ? Duration::zero() : Share(route_.objective, context_.settings.min_hedge_delay_share);
+      part.next_send_at = now + std::max(context_.settings.retry_pause, pause);
     }
   }
   ScheduleTimer();
@@ -336,6 +361,7 @@
     return;
   }
   RequestTrace::OnEnd(exchange, outcome, response.status, context_.loop.Now());
+  waited_ = std::max(waited_, exchange.sent ? exchange.sent_at - exchange.queued_at : Duration::zero());
   const auto self = shared_from_this();
   const std::size_t index = exchange.part_index;
   Part& part = parts_[index];
@@ -420,6 +446,9 @@
   if (!part.running.empty()) {
     return;  // a hedge is still running
   }
+  if (EndIfOutOfReach()) {
+    return;
+  }
   // A part of a gathered request is sent to the same upstream again only after a pause, because an upstream that
   // refuses connections would fail the part every millisecond.
   if (SendPart(index, is_gather() ? Candidates::kUntried : Candidates::kAll)) {
@@ -436,9 +465,8 @@
     return;
   }
   if (!is_gather()) {
-    const bool final =
-        part.may_have_run_count >= route_.max_attempts || (!route_.idempotent && part.may_have_run_count > 0);
-    if (final && last_failure_response_.status != 0 && !PromisesNotRun(last_failure_response_.status)) {
+    if (HasUsedAttempts(part) && last_failure_response_.status != 0 &&
+        !PromisesNotRun(last_failure_response_.status)) {
       RespondSingle(last_failure_response_);
     } else if (may_have_run_) {
       Fail(502, "searchers failed");
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -19,6 +19,8 @@
 // Connections to one upstream beyond its slots. More of them would only queue requests at the upstream.
 constexpr std::size_t kConnectionsBeyondSlots = 2;
 
+const QueuePlace& PlaceOf(const UpstreamExchangePtr& exchange) { return exchange->place; }
+
 }  // namespace
 
 UpstreamLink::UpstreamLink(LinkContext& context, UpstreamEntry entry) : context_(context) {
@@ -59,20 +61,20 @@
   exchange->link = shared_from_this();
   exchange->give_up_at = exchange->deadline + kOverdueTolerance;
   exchange->admitted_cold = cold(context_.loop.Now());
-  waiting_.push_back(exchange);
+  exchange->place.deadline = exchange->deadline;
+  exchange->place.turn = NextTurn(served_turns_, waiting_, PlaceOf, exchange->place);
+  waiting_.insert(
+      std::upper_bound(waiting_.begin(), waiting_.end(), exchange,
+                       [](const auto& left, const auto& right) { return GoesBefore(left->place, right->place); }),
+      exchange);
   SendWaiting();
 }
 
 void UpstreamLink::SendWaiting() {
   const TimePoint now = context_.loop.Now();
-  while (!waiting_.empty() && (waiting_.front()->done || now >= waiting_.front()->deadline)) {
-    const UpstreamExchangePtr expired = waiting_.front();
-    waiting_.pop_front();
-    // Finished in a later turn of the event loop, so that Send() never calls a handler.
-    context_.loop.Post(
-        [self = shared_from_this(), expired] { self->Finish(expired, ExchangeOutcome::kNotSent, {}); });
-  }
+  RemoveHopeless(now);
   std::size_t connecting = 0;
+  unsigned departures = 0;
   for (std::size_t i = connections_.size(); i-- > 0 && !waiting_.empty();) {
     if (i >= connections_.size()) {
       continue;
@@ -92,6 +94,10 @@
       }
       const UpstreamExchangePtr next = *found;
       waiting_.erase(found);
+      if (!waiting_.empty()) {
+        served_turns_[next->place.priority] = next->place.turn;
+      }
+      ++departures;
       unanswered_.push_back(next);
       connection->StartExchange(next);
     }
@@ -100,6 +106,53 @@
     OpenConnection();
     ++connecting;
   }
+  RecordQueueChange(departures);
+}
+
+void UpstreamLink::RemoveHopeless(TimePoint now) {
+  const auto hopeful = [now](const UpstreamExchangePtr& exchange) {
+    return !exchange->done && now + exchange->least_work < exchange->deadline;
+  };
+  if (std::all_of(waiting_.begin(), waiting_.end(), hopeful)) {
+    return;
+  }
+  const auto first_removed = std::stable_partition(waiting_.begin(), waiting_.end(), hopeful);
+  for (auto removed = first_removed; removed != waiting_.end(); ++removed) {
+    // Finished in a later turn of the event loop, so that Send() never calls a handler.
+    context_.loop.Post(
+        [self = shared_from_this(), exchange = *removed] { self->Finish(exchange, ExchangeOutcome::kNotSent, {}); });
+  }
+  waiting_.erase(first_removed, waiting_.end());
+}
+
+void UpstreamLink::RecordQueueChange(unsigned departures) {
+  if (waiting_.empty()) {
+    served_turns_.clear();
+  }
+  RecordQueue(queue_history_, !waiting_.empty(), departures, context_.loop.Now());
+}
+
+UpstreamRoom UpstreamLink::RoomFor(const QueuePlace& place, TimePoint now) const {
+  if (waiting_.empty() || !IsStanding(queue_history_, now)) {
+    return {};
+  }
+  QueuePlace last = place;
+  last.turn = NextTurn(served_turns_, waiting_, PlaceOf, place);
+  const auto ahead = std::count_if(waiting_.begin(), waiting_.end(),
+                                   [&](const auto& exchange) { return !GoesBefore(last, exchange->place); });
+  return {.standing = true,
+          .departures_per_s = DepartureRate(queue_history_, now),
+          .ahead = static_cast<std::size_t>(ahead)};
+}
+
+HedgeTarget UpstreamLink::MakeHedgeTarget() const {
+  const bool ready = connections_.size() < ConnectionLimit() ||
+                     std::any_of(connections_.begin(), connections_.end(),
+                                 [](const auto& connection) { return connection->idle(); });
+  return {.waiting = waiting_.size(),
+          .unanswered = unanswered_.size(),
+          .connection_ready = ready,
+          .slots = std::max<std::size_t>(entry_.slots, 1)};
 }
 
 bool UpstreamLink::MakeRoomForConnection() {
@@ -185,6 +238,7 @@
   // Taken out of the queue first, because a handler may send its request to this upstream again.
   const std::vector<UpstreamExchangePtr> released(first_released, waiting_.end());
   waiting_.erase(first_released, waiting_.end());
+  RecordQueueChange();
   for (const auto& exchange : released) {
     Finish(exchange, ExchangeOutcome::kNotSent, {});
   }
@@ -225,6 +279,7 @@
   }
   exchange->done = true;
   std::erase(waiting_, exchange);
+  RecordQueueChange();
 }
 
 void UpstreamLink::Retire() {
