--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -159,6 +159,7 @@
   if (rollouts_ != nullptr) {
     rollouts_->Tick();
   }
+  UpdateAdmission(request_context_);
   CatchUpWithPeers();
   tick_timer_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
 }
--- a/src/libgateway/gateway_settings_test.cpp
+++ b/src/libgateway/gateway_settings_test.cpp
@@ -44,6 +44,8 @@
            {"usage_caps:\n  excess: -1\n", "9", "usage_caps.excess", "-1"},
            {"rollouts:\n  canary_share: 1.5\n", "9", "rollouts.canary_share", "1.5"},
            {"rollouts:\n  rollback_s: 5\n", "9", "rollouts.rollback_s", "5"},
+           {"admission:\n  naive: perhaps\n", "9", "admission.naive", "perhaps"},
+           {"admission:\n  simple: true\n", "9", "admission.simple", "true"},
            {"seed_peers: [\"127.0.0.1:1\", \"nowhere\"]\n", "8", "seed_peers", "nowhere"}}) {
     const std::string error = ErrorOf(text);
     CHECK_TEXT(error.starts_with("g.yaml:" + line + ": ") && error.find("'" + key + "'") != error.npos &&
--- a/src/libgateway/request_answer.cpp
+++ b/src/libgateway/request_answer.cpp
@@ -22,6 +22,7 @@
   paused_parts_ = static_cast<std::size_t>(std::count_if(
       parts_.begin(), parts_.end(), [this](const Part& part) { return IsPausedUntilAfter(part, TimePoint::min()); }));
   MarkFinished();
+  RecordWait();
   context_.metrics.Count("pimentomoor_run_answers_total", 1, outcome);
   caller_->Respond(response);
   RecordTrace(response.status, outcome);
