Pace upstreams that have just started or recovered

Change: with `pace: {enabled: true}`, each daemon limits its requests at once at such an upstream: from its part of two requests, raised by good answers and lowered by slow answers, refusals and failures, until its part of the slots is borne. The bound for cold upstreams stands in front of it and is unchanged. Not measured on the deployments.

--- a/src/include/pimentomoor/gateway_settings.h
+++ b/src/include/pimentomoor/gateway_settings.h
@@ -27,6 +27,7 @@
   Duration drain_timeout = std::chrono::seconds(6);  // time from the stop signal until the process is killed
   RetryBudgetSettings retry;
   ColdUpstreamSettings cold_upstreams;  // key `cold`
+  PaceSettings pace;
   RequestSettings requests;
   EntrySelectionSettings entry_selection;
 
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -16,6 +16,7 @@
 #include "pimentomoor/http1_message.h"
 #include "pimentomoor/metrics.h"
 #include "pimentomoor/shared_budget.h"
+#include "pimentomoor/upstream_pace.h"
 #include "pimentomoor/upstream_score.h"
 
 namespace pimentomoor {
@@ -33,7 +34,7 @@
   std::string address;  // "IP:port"
   std::string failure_domain;
   std::string version;  // version of its software; empty when the upstream names none
-  unsigned slots = 1;  // requests that the upstream runs at a time
+  unsigned slots = 1;   // requests that the upstream runs at a time
   bool draining = false;
   Duration cold_remaining{};        // how long after writing the entry the upstream stays cold
   std::uint64_t start_unix_ms = 0;  // Unix time at which the upstream started
@@ -104,6 +105,8 @@
   std::string failure_domain;   // failure domain of this daemon
   // Called when an upstream crashed while it ran the request.
   std::function<void(const UpstreamRequest&)> on_crash = [](const UpstreamRequest&) {};
+  PaceSettings pace;
+  std::uint64_t daemon_id = 0;  // differs between daemons; spreads their first requests to a paced upstream
   MessageLimits response_limits{.head_bytes = 64 * 1024, .body_bytes = std::uint64_t{8} * 1024 * 1024};
 };
 
@@ -160,12 +163,23 @@
   void SetColdFor(Duration left, TimePoint now);
   /// Describes the upstream for the choice between upstreams.
   [[nodiscard]] UpstreamCandidate MakeCandidate(TimePoint now) const;
+  /// Limits the requests to an upstream that has just started or recovered, if the settings say so.
+  void StartPace(PaceReason reason);
+  /// Ends a pace that is no longer needed.
+  void MaintainPace(TimePoint now) {
+    if (pace.active) {
+      EndPaceIfOver(now);
+    }
+  }
+  [[nodiscard]] PaceConditions MakePaceConditions(TimePoint now) const;
   [[nodiscard]] bool busy() const { return !connections_.empty() || !waiting_.empty(); }
 
   UpstreamSignals signals;
+  UpstreamPace pace;
   ColdRateLimiter cold_rate_limiter;
   unsigned max_connections = 1;   // connections that the upstream accepts from all daemons together
   std::size_t sender_count = 1;   // daemons that share max_connections
+  bool senders_known = false;     // `sender_count` counts the daemons that live
   bool in_subset = true;          // this daemon is one of those that share max_connections
   bool limits_cold_rate = false;  // the service limits the rate of requests to a cold upstream
 
@@ -178,6 +192,13 @@
   /// Sends queued requests over idle connections and opens more connections while the limit allows.
   void SendWaiting();
   void Finish(const UpstreamExchangePtr& exchange, ExchangeOutcome outcome, ResponseMessage response);
+  /// Whether the pace lets one more request be sent now, beside those that run and `pending` others.
+  [[nodiscard]] bool HasRoomAtPace(TimePoint now, std::size_t pending) const;
+  /// Records the end of a sent exchange for the pace. A lowered limit releases the queue, so that its requests are
+  /// placed anew.
+  void RecordPace(const UpstreamExchange& exchange, ExchangeOutcome outcome, const ResponseMessage& response);
+  void RecordPaceConnectFailure();
+  void EndPaceIfOver(TimePoint now);
   /// Ends the queued exchanges of which `predicate` is true with kNotSent.
   void ReleaseWaiting(const std::function<bool(const UpstreamExchange&)>& predicate);
   void RemoveConnection(UpstreamConnection* connection);
--- a/src/include/pimentomoor/upstream_score.h
+++ b/src/include/pimentomoor/upstream_score.h
@@ -52,6 +52,7 @@
   bool connection_ready = true;  // false: the request would have to wait for a connection
   bool same_domain = true;       // the upstream is in this daemon's failure domain
   bool in_subset = true;         // the upstream is in this daemon's UpstreamSubset
+  bool has_room = true;          // false: the upstream's pace lets no further request be sent now
 
   friend bool operator==(const UpstreamCandidate&, const UpstreamCandidate&) = default;
 };
--- a/src/include/pimentomoor/upstream_set.h
+++ b/src/include/pimentomoor/upstream_set.h
@@ -102,6 +102,7 @@
   TimePoint started_at_;
   TimePoint last_sweep_at_ = started_at_;
   bool last_sweep_skipped_ = false;  // the last call of Sweep() was skipped
+  std::size_t paced_count_ = 0;      // upstreams with an active pace at the last call of Sweep()
   std::size_t daemon_count_ = 0;
   std::string self_address_;
   std::vector<std::string> other_addresses_;
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -47,7 +47,9 @@
                   .metrics = metrics_,
                   .names = codec.field_names(),
                   .buffer_budget = buffer_budget_,
-                  .failure_domain = settings_.failure_domain},
+                  .failure_domain = settings_.failure_domain,
+                  .pace = settings_.pace,
+                  .daemon_id = incarnation_},
                  settings_.retry, settings_.cold_upstreams),
       crashes_(incarnation_),
       tracer_(metrics_, settings_.host),
@@ -538,6 +540,7 @@
   changeable.seed_peers = settings.seed_peers;
   changeable.retry = settings.retry;
   changeable.cold_upstreams = settings.cold_upstreams;
+  changeable.pace = settings.pace;
   changeable.log_level = settings.log_level;
   if (changeable != settings) {
     LogWarn("settings changed that need a restart", {{"host", settings_.host}});
@@ -546,6 +549,7 @@
   request_context_.settings = settings_.requests;
   peers_->SetSeeds(settings_.seed_peers);
   upstreams_.SetBudgets(settings_.retry, settings_.cold_upstreams);
+  upstreams_.context().pace = settings_.pace;
   LogInfo("settings applied", {{"host", settings_.host}, {"log_level", settings_.log_level}});
   SetLogLevel(settings_.log_level);
 }
--- a/src/libgateway/gateway_inspection_test.cpp
+++ b/src/libgateway/gateway_inspection_test.cpp
@@ -134,6 +134,28 @@
   LONGS_EQUAL(2, Run({"gateway-status", "--daemon", "nowhere"}).exit_code);
 }
 
+// Guards against a pace that operators can't see, or that stays after the settings switched it off.
+TEST(GatewayInspection, StatusShowsPacesUntilTheyAreSwitchedOff) {
+  gateway.reset();
+  settings.pace.enabled = true;
+  gateway = std::make_unique<Gateway>(loop, settings, *codec);
+  gateway->Start();
+  CHECK(loop.RunUntil([&] { return gateway->ready(); }, std::chrono::seconds(10)));
+  const auto status = [&] {
+    std::string body;
+    client.Call({.target = settings.peer_address, .path = "/status", .timeout = std::chrono::seconds(2)},
+                [&body](const HttpResult& result) { body = result.body; });
+    CHECK(loop.RunUntil([&body] { return !body.empty(); }, std::chrono::seconds(3)));
+    return body;
+  };
+  STRCMP_CONTAINS(R"("a":{"began":"start","age_ms":)", status().c_str());
+  STRCMP_CONTAINS(R"("last_change":"began")", status().c_str());
+  settings.pace.enabled = false;
+  gateway->ApplySettings(settings);
+  loop.RunUntil([] { return false; }, milliseconds(60));
+  STRCMP_CONTAINS(R"("paced_searchers":{})", status().c_str());
+}
+
 // Guards against one object whose name is invalid UTF-8 stopping the relay of all objects between daemons.
 TEST(GatewayInspection, RelayPassesNamesOfInvalidUtf8) {
   Serve("servers", Searcher("bad\xff", "good", good.address()));
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -71,6 +71,14 @@
   return cold;
 }
 
+PaceSettings ReadPace(const YamlNode& node, std::string_view source) {
+  YamlMapReader reader(node, source, "pace");
+  PaceSettings pace;
+  reader.CollectErrors([&] { pace.enabled = reader.OptionalBool("enabled", pace.enabled); });
+  reader.Finish();
+  return pace;
+}
+
 // Reads the CPU capacity of this host: share of a core times number of cores.
 std::uint32_t ReadCapacity(YamlMapReader& reader) {
   constexpr double kMaxCores = 1'024;
@@ -118,6 +126,9 @@
   if (const YamlNode* cold = reader.Find("cold"); cold != nullptr) {
     reader.CollectErrors([&] { settings.cold_upstreams = ReadCold(*cold, source); });
   }
+  if (const YamlNode* pace = reader.Find("pace"); pace != nullptr) {
+    reader.CollectErrors([&] { settings.pace = ReadPace(*pace, source); });
+  }
   reader.Finish();
   return settings;
 }
--- a/src/libgateway/gateway_settings_test.cpp
+++ b/src/libgateway/gateway_settings_test.cpp
@@ -38,6 +38,7 @@
            {"retry:\n  ratio: nan\n", "9", "retry.ratio", "nan"},
            {"retry:\n  window_s: 0.25\n", "9", "retry.window_s", "0.25"},
            {"cold:\n  slacks: 4\n", "9", "cold.slacks", "4"},
+           {"pace:\n  enabled: maybe\n", "9", "pace.enabled", "maybe"},
            {"seed_peers: [\"127.0.0.1:1\", \"nowhere\"]\n", "8", "seed_peers", "nowhere"}}) {
     const std::string error = ErrorOf(text);
     CHECK_TEXT(error.starts_with("g.yaml:" + line + ": ") && error.find("'" + key + "'") != error.npos &&
--- a/src/libgateway/gateway_status.cpp
+++ b/src/libgateway/gateway_status.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t kDefaultTraceCount = 10;
 constexpr std::size_t kMaxMembersShown = 200;  // peers listed in /status, to keep it readable in a large cell
 constexpr std::size_t kMaxUnreadyShown = 64;   // upstreams listed in /status that are not ready
+constexpr std::size_t kMaxPacedShown = 64;     // upstreams listed in /status that are paced
 
 const char* JsonBool(bool value) { return value ? "true" : "false"; }
 
@@ -69,6 +70,27 @@
   out << "}";
 }
 
+// Writes the upstreams whose pace is active, with the limit and why it last changed.
+void RenderPaces(std::ostream& out, const UpstreamSet& upstreams, TimePoint now) {
+  std::size_t shown = 0;
+  out << "\"paced_searchers\":{";
+  for (const auto& [name, service] : upstreams.services()) {
+    for (const auto& link : service.links) {
+      const UpstreamPace& pace = link->pace;
+      if (!pace.active || shown == kMaxPacedShown) {
+        continue;
+      }
+      const PaceConditions conditions = link->MakePaceConditions(now);
+      out << (shown++ == 0 ? "" : ",") << "\n  " << JsonQuote(link->entry().id) << ":{\"began\":\""
+          << ToString(pace.reason) << "\",\"age_ms\":" << AgeMs(pace.began_at, now)
+          << ",\"limit\":" << CurrentPaceLimit(pace, conditions) << ",\"ceiling\":" << PaceCeiling(conditions)
+          << ",\"running\":" << conditions.running << ",\"last_change\":\"" << ToString(pace.last_change)
+          << "\",\"changed_ms\":" << AgeMs(pace.changed_at, now) << "}";
+    }
+  }
+  out << "}";
+}
+
 // Writes the counters of metric `name` as members of a JSON object, keyed by the value of their label.
 void RenderCounters(std::ostream& out, const Metrics& metrics, const char* name, const char* prefix, bool& first) {
   for (const auto& [labels, value] : metrics.CountersOf(name)) {
@@ -121,6 +143,8 @@
   }
   out << "],\n\"upstreams\":" << upstreams_.announced_count() << ",";
   RenderServices(out, upstreams_, now);
+  out << ",\n";
+  RenderPaces(out, upstreams_, now);
   out << ",\n\"store\":{";
   for (const auto& feed : feeds_) {
     out << (feed->kind() == RecordKind::kRouting ? "" : ",") << JsonQuote(ToString(feed->kind()))
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -212,7 +212,8 @@
         continue;
       }
       const UpstreamCandidate candidate = link->MakeCandidate(now);
-      if (tried && candidate.last_resort) {
+      // A second copy that waits at a paced upstream would use the retry budget without being sent.
+      if ((tried && candidate.last_resort) || (!candidate.has_room && !part.running.empty())) {
         continue;
       }
       links.push_back(link);
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -18,10 +18,13 @@
 constexpr Duration kOverdueTolerance = std::chrono::milliseconds(300);
 // Connections to one upstream beyond its slots. More of them would only queue requests at the upstream.
 constexpr std::size_t kConnectionsBeyondSlots = 2;
+// A shorter rest of a cold time is mostly the delay of a message about a longer one that has been paced.
+constexpr Duration kMinPacedColdTime = std::chrono::milliseconds(300);
 
 }  // namespace
 
-UpstreamLink::UpstreamLink(LinkContext& context, UpstreamEntry entry) : context_(context) {
+UpstreamLink::UpstreamLink(LinkContext& context, UpstreamEntry entry)
+    : context_(context), cold_until_(context.loop.Now() + entry.cold_remaining) {
   Update(std::move(entry), context.loop.Now());
 }
 
@@ -31,8 +34,7 @@
   entry_ = std::move(entry);
   misdirected_ = false;
   entry_missing_ = false;
-  cold_until_ = now + entry_.cold_remaining;
-  ReleaseInadmissible();
+  SetColdFor(entry_.cold_remaining, now);
 }
 
 std::size_t UpstreamLink::ConnectionLimit() const {
@@ -52,13 +54,15 @@
           .last_resort = entry_missing_ || now < signals.backoff_until,
           .connection_ready = idle,
           .same_domain = entry_.failure_domain == context_.failure_domain,
-          .in_subset = in_subset};
+          .in_subset = in_subset,
+          .has_room = HasRoomAtPace(now, waiting_.size())};
 }
 
 void UpstreamLink::Send(const UpstreamExchangePtr& exchange) {
   exchange->link = shared_from_this();
   exchange->give_up_at = exchange->deadline + kOverdueTolerance;
   exchange->admitted_cold = cold(context_.loop.Now());
+  pace.usual = exchange->expected_latency;
   waiting_.push_back(exchange);
   SendWaiting();
 }
@@ -73,7 +77,7 @@
         [self = shared_from_this(), expired] { self->Finish(expired, ExchangeOutcome::kNotSent, {}); });
   }
   std::size_t connecting = 0;
-  for (std::size_t i = connections_.size(); i-- > 0 && !waiting_.empty();) {
+  for (std::size_t i = connections_.size(); i-- > 0 && !waiting_.empty() && HasRoomAtPace(now, 0);) {
     if (i >= connections_.size()) {
       continue;
     }
@@ -92,11 +96,12 @@
       }
       const UpstreamExchangePtr next = *found;
       waiting_.erase(found);
+      RecordPaceSend(pace, MakePaceConditions(now));
       unanswered_.push_back(next);
       connection->StartExchange(next);
     }
   }
-  while (waiting_.size() > connecting && !retired_ && MakeRoomForConnection()) {
+  while (waiting_.size() > connecting && !retired_ && HasRoomAtPace(now, connecting) && MakeRoomForConnection()) {
     OpenConnection();
     ++connecting;
   }
@@ -140,6 +145,7 @@
   if (refused) {
     ReportCrashSuspects();
   }
+  RecordPaceConnectFailure();
   const bool any_connected =
       std::any_of(connections_.begin(), connections_.end(), [](const auto& left) { return left->connected(); });
   if (!any_connected) {
@@ -152,6 +158,7 @@
   for (const auto& [lost_at, request] : std::exchange(crash_suspects_, {})) {
     if (now - lost_at < kCrashDetectionWindow) {
       context_.metrics.Count("pimentomoor_upstream_crashes_total");
+      StartPace(PaceReason::kCrash);
       context_.on_crash(*request);
     }
   }
@@ -167,7 +174,11 @@
 }
 
 void UpstreamLink::SetColdFor(Duration left, TimePoint now) {
+  const bool was_cold = cold(now);
   cold_until_ = now + left;
+  if (!was_cold && left >= kMinPacedColdTime) {
+    StartPace(PaceReason::kCold);
+  }
   ReleaseInadmissible();
 }
 
@@ -205,6 +216,7 @@
   } else if (outcome != ExchangeOutcome::kNotSent) {
     RecordFailure(signals, now);
   }
+  RecordPace(*exchange, outcome, response);
   if (outcome == ExchangeOutcome::kLost) {
     SuspectCrash(exchange);
   }
--- a/src/libgateway/upstream_set.cpp
+++ b/src/libgateway/upstream_set.cpp
@@ -85,6 +85,10 @@
                                      [&](const auto& other) { return link->entry().id < other->entry().id; });
   service.links.insert(position, link);
   AssignSenders(service);
+  link->pace.usual = service.links.front()->pace.usual;
+  if (link->entry().sequence <= kPaceYoungEntries || link->entry().cold_remaining > Duration::zero()) {
+    link->StartPace(PaceReason::kStart);
+  }
 }
 
 void UpstreamSet::Withdraw(const std::string& id) {
@@ -123,6 +127,7 @@
     const bool in_outage = outages_.contains(link->entry().failure_domain);
     if (link->in_outage() && !in_outage) {
       link->AssumeColdUntil(context_.loop.Now() + kReturnProbation);
+      link->StartPace(PaceReason::kOutageEnd);
     }
     link->SetInOutage(in_outage);
     links.push_back(link);
@@ -146,9 +151,10 @@
 }
 
 void UpstreamSet::SetDaemons(std::size_t known_daemons, const std::string& self, std::vector<std::string> others) {
+  const bool senders_known = daemon_count_ > 0;
   daemon_count_ = known_daemons;
   cold_senders_.RecordLiveDaemons(others, context_.loop.Now());
-  if (others == other_addresses_ && self == self_address_) {
+  if (others == other_addresses_ && self == self_address_ && senders_known == (daemon_count_ > 0)) {
     return;
   }
   self_address_ = self;
@@ -166,6 +172,7 @@
     UpstreamLink& link = *service.links[i];
     link.max_connections = std::max(1U, service.spec.max_connections);
     link.sender_count = subset.daemons_per_upstream;
+    link.senders_known = daemon_count_ > 0;
     link.limits_cold_rate = service.spec.cold_requests_per_s > 0;
     link.in_subset = IsInSubset(subset, i, service.links.size());
   }
@@ -217,12 +224,18 @@
   if (last_sweep_skipped_) {
     return;
   }
+  std::size_t paced_count = 0;
   // Sweeping a link may send its requests to other upstreams, but it adds and removes none, so iterators stay valid.
   for (const auto& [id, link] : by_id_) {
+    link->MaintainPace(now);
+    paced_count += link->pace.active ? 1 : 0;
     if (link->busy()) {
       link->Sweep(now);
     }
   }
+  if (std::exchange(paced_count_, paced_count) != paced_count) {
+    context_.metrics.SetGauge("pimentomoor_upstream_paced", static_cast<double>(paced_count));
+  }
   for (const auto& link : withdrawn_) {
     link->Sweep(now);
   }
--- a/src/libroute/upstream_score.cpp
+++ b/src/libroute/upstream_score.cpp
@@ -18,6 +18,8 @@
 constexpr double kOtherDomainCost = 0.15;
 // High enough that upstreams outside the subset are used only when those inside are much slower or unusable.
 constexpr double kOutsideSubsetCost = 3.0;
+// High enough that a request waits at a paced upstream only when no other one takes it; less than kLastResortCost.
+constexpr double kNoRoomCost = 50.0;
 constexpr Duration kMinBackoff = std::chrono::milliseconds(250);
 constexpr Duration kMaxBackoff = std::chrono::seconds(2);
 
@@ -72,7 +74,7 @@
   const double load = 1.0 + static_cast<double>(candidate.unanswered) / static_cast<double>(candidate.slots);
   return slowness * load + kFailureCost * candidate.failure_rate + (candidate.last_resort ? kLastResortCost : 0.0) +
          (candidate.connection_ready ? 0.0 : kNoConnectionCost) + (candidate.same_domain ? 0.0 : kOtherDomainCost) +
-         (candidate.in_subset ? 0.0 : kOutsideSubsetCost);
+         (candidate.in_subset ? 0.0 : kOutsideSubsetCost) + (candidate.has_room ? 0.0 : kNoRoomCost);
 }
 
 std::size_t ChooseUpstream(std::span<const UpstreamCandidate> candidates, Duration expected, std::size_t tie_break) {
