--- a/src/include/pimentomoor/gateway_settings.h
+++ b/src/include/pimentomoor/gateway_settings.h
@@ -33,6 +33,7 @@
   ColdUpstreamSettings cold_upstreams;  // key `cold`
   UsageCapSettings usage_caps;          // off without the key `usage_caps`
   std::optional<RolloutSettings> rollouts;  // without it, orders of roll-outs are not followed
+  PaceSettings pace;
   RequestSettings requests;
   EntrySelectionSettings entry_selection;
 
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -19,6 +19,7 @@
 #include "pimentomoor/metrics.h"
 #include "pimentomoor/shared_budget.h"
 #include "pimentomoor/upstream_hold.h"
+#include "pimentomoor/upstream_pace.h"
 #include "pimentomoor/upstream_score.h"
 
 namespace pimentomoor {
@@ -122,6 +123,8 @@
   // Called with each notice that an answer of the upstream holds; must pass the result to SetHold().
   std::function<void(UpstreamLink&, const UpstreamNotice&)> on_notice = [](UpstreamLink&, const UpstreamNotice&) {};
   UpstreamHoldSettings hold_settings = {};
+  PaceSettings pace;
+  std::uint64_t daemon_id = 0;  // differs between daemons; spreads their first requests to a paced upstream
   MessageLimits response_limits{.head_bytes = 64 * 1024, .body_bytes = std::uint64_t{8} * 1024 * 1024};
 };
 
@@ -198,12 +201,23 @@
   /// What the upstream offers to a request with this place.
   [[nodiscard]] UpstreamRoom RoomFor(const QueuePlace& place, TimePoint now) const;
   [[nodiscard]] HedgeTarget MakeHedgeTarget() const;
+  /// Limits the requests to an upstream that has just started or recovered, if the settings say so.
+  void StartPace(PaceReason reason);
+  /// Ends a pace that is no longer needed.
+  void MaintainPace(TimePoint now) {
+    if (pace.active) {
+      EndPaceIfOver(now);
+    }
+  }
+  [[nodiscard]] PaceConditions MakePaceConditions(TimePoint now) const;
   [[nodiscard]] bool busy() const { return !connections_.empty() || !waiting_.empty(); }
 
   UpstreamSignals signals;
+  UpstreamPace pace;
   ColdRateLimiter cold_rate_limiter;
   unsigned max_connections = 1;   // connections that the upstream accepts from all daemons together
   std::size_t sender_count = 1;   // daemons that share max_connections
+  bool senders_known = false;     // `sender_count` counts the daemons that live
   bool in_subset = true;          // this daemon is one of those that share max_connections
   bool limits_cold_rate = false;  // the service limits the rate of requests to a cold upstream
 
@@ -225,6 +239,13 @@
   /// Sends queued requests over idle connections and opens more connections while the limit allows.
   void SendWaiting();
   void Finish(const UpstreamExchangePtr& exchange, ExchangeOutcome outcome, ResponseMessage response);
+  /// Whether the pace lets one more request be sent now, beside those that run and `pending` others.
+  [[nodiscard]] bool HasRoomAtPace(TimePoint now, std::size_t pending) const;
+  /// Records the end of a sent exchange for the pace. A lowered limit releases the queue, so that its requests are
+  /// placed anew.
+  void RecordPace(const UpstreamExchange& exchange, ExchangeOutcome outcome, const ResponseMessage& response);
+  void RecordPaceConnectFailure();
+  void EndPaceIfOver(TimePoint now);
   /// Ends the queued exchanges of which `predicate` is true with kNotSent.
   void ReleaseWaiting(const std::function<bool(const UpstreamExchange&)>& predicate);
   /// Takes the requests that can no longer be answered in time out of the queue, wherever they stand in it.
--- a/src/include/pimentomoor/upstream_set.h
+++ b/src/include/pimentomoor/upstream_set.h
@@ -123,6 +123,7 @@
   TimePoint last_sweep_at_ = started_at_;
   TimePoint holds_expired_at_ = started_at_;  // time of the last call of UpstreamHolds::Expire()
   bool last_sweep_skipped_ = false;           // the last call of Sweep() was skipped
+  std::size_t paced_count_ = 0;               // upstreams with an active pace at the last call of Sweep()
   std::size_t daemon_count_ = 0;
   std::string self_address_;
   std::vector<std::string> other_addresses_;
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -51,7 +51,9 @@
                   .metrics = metrics_,
                   .names = codec.field_names(),
                   .buffer_budget = buffer_budget_,
-                  .failure_domain = settings_.failure_domain},
+                  .failure_domain = settings_.failure_domain,
+                  .pace = settings_.pace,
+                  .daemon_id = incarnation_},
                  settings_.retry, settings_.cold_upstreams),
       crashes_(incarnation_),
       tracer_(metrics_, settings_.host),
@@ -597,6 +599,7 @@
   if (settings_.rollouts && settings.rollouts) {
     changeable.rollouts = settings.rollouts;
   }
+  changeable.pace = settings.pace;
   changeable.log_level = settings.log_level;
   if (changeable != settings) {
     LogWarn("settings changed that need a restart", {{"host", settings_.host}});
@@ -610,6 +613,7 @@
   if (rollouts_ != nullptr) {
     rollouts_->SetSettings(*settings_.rollouts);
   }
+  upstreams_.context().pace = settings_.pace;
   LogInfo("settings applied", {{"host", settings_.host}, {"log_level", settings_.log_level}});
   SetLogLevel(settings_.log_level);
 }
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -109,6 +109,14 @@
   return admission;
 }
 
+PaceSettings ReadPace(const YamlNode& node, std::string_view source) {
+  YamlMapReader reader(node, source, "pace");
+  PaceSettings pace;
+  reader.CollectErrors([&] { pace.enabled = reader.OptionalBool("enabled", pace.enabled); });
+  reader.Finish();
+  return pace;
+}
+
 // Reads the CPU capacity of this host: share of a core times number of cores.
 std::uint32_t ReadCapacity(YamlMapReader& reader) {
   constexpr double kMaxCores = 1'024;
@@ -170,6 +178,9 @@
   if (const YamlNode* admission = reader.Find("admission"); admission != nullptr) {
     reader.CollectErrors([&] { settings.requests.admission = ReadAdmission(*admission, source); });
   }
+  if (const YamlNode* pace = reader.Find("pace"); pace != nullptr) {
+    reader.CollectErrors([&] { settings.pace = ReadPace(*pace, source); });
+  }
   reader.Finish();
   return settings;
 }
--- a/src/libgateway/gateway_settings_test.cpp
+++ b/src/libgateway/gateway_settings_test.cpp
@@ -46,6 +46,7 @@
            {"rollouts:\n  rollback_s: 5\n", "9", "rollouts.rollback_s", "5"},
            {"admission:\n  naive: perhaps\n", "9", "admission.naive", "perhaps"},
            {"admission:\n  simple: true\n", "9", "admission.simple", "true"},
+           {"pace:\n  enabled: maybe\n", "9", "pace.enabled", "maybe"},
            {"seed_peers: [\"127.0.0.1:1\", \"nowhere\"]\n", "8", "seed_peers", "nowhere"}}) {
     const std::string error = ErrorOf(text);
     CHECK_TEXT(error.starts_with("g.yaml:" + line + ": ") && error.find("'" + key + "'") != error.npos &&
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -18,12 +18,15 @@
 constexpr Duration kOverdueTolerance = std::chrono::milliseconds(300);
 // Connections to one upstream beyond its slots. More of them would only queue requests at the upstream.
 constexpr std::size_t kConnectionsBeyondSlots = 2;
+// A shorter rest of a cold time is mostly the delay of a message about a longer one that has been paced.
+constexpr Duration kMinPacedColdTime = std::chrono::milliseconds(300);
 
 const QueuePlace& PlaceOf(const UpstreamExchangePtr& exchange) { return exchange->place; }
 
 }  // namespace
 
-UpstreamLink::UpstreamLink(LinkContext& context, UpstreamEntry entry) : context_(context) {
+UpstreamLink::UpstreamLink(LinkContext& context, UpstreamEntry entry)
+    : context_(context), cold_until_(context.loop.Now() + entry.cold_remaining) {
   Update(std::move(entry), context.loop.Now());
 }
 
@@ -33,8 +36,7 @@
   entry_ = std::move(entry);
   misdirected_ = false;
   entry_missing_ = false;
-  cold_until_ = now + entry_.cold_remaining;
-  ReleaseInadmissible();
+  SetColdFor(entry_.cold_remaining, now);
 }
 
 std::size_t UpstreamLink::ConnectionLimit() const {
@@ -54,13 +56,15 @@
           .last_resort = entry_missing_ || now < signals.backoff_until,
           .connection_ready = idle,
           .same_domain = entry_.failure_domain == context_.failure_domain,
-          .in_subset = in_subset};
+          .in_subset = in_subset,
+          .has_room = HasRoomAtPace(now, waiting_.size())};
 }
 
 void UpstreamLink::Send(const UpstreamExchangePtr& exchange) {
   exchange->link = shared_from_this();
   exchange->give_up_at = exchange->deadline + kOverdueTolerance;
   exchange->admitted_cold = cold(context_.loop.Now());
+  pace.usual = exchange->expected_latency;
   exchange->last_resort = leaving();
   exchange->place.deadline = exchange->deadline;
   exchange->place.turn = NextTurn(served_turns_, waiting_, PlaceOf, exchange->place);
@@ -77,7 +81,7 @@
   RemoveHopeless(now);
   std::size_t connecting = 0;
   unsigned departures = 0;
-  for (std::size_t i = connections_.size(); i-- > 0 && !waiting_.empty();) {
+  for (std::size_t i = connections_.size(); i-- > 0 && !waiting_.empty() && HasRoomAtPace(now, 0);) {
     if (i >= connections_.size()) {
       continue;
     }
@@ -100,11 +104,12 @@
         served_turns_[next->place.priority] = next->place.turn;
       }
       ++departures;
+      RecordPaceSend(pace, MakePaceConditions(now));
       unanswered_.push_back(next);
       connection->StartExchange(next);
     }
   }
-  while (waiting_.size() > connecting && !retired_ && MakeRoomForConnection()) {
+  while (waiting_.size() > connecting && !retired_ && HasRoomAtPace(now, connecting) && MakeRoomForConnection()) {
     OpenConnection();
     ++connecting;
   }
@@ -195,6 +200,7 @@
   if (refused) {
     ReportCrashSuspects();
   }
+  RecordPaceConnectFailure();
   const bool any_connected =
       std::any_of(connections_.begin(), connections_.end(), [](const auto& left) { return left->connected(); });
   if (!any_connected) {
@@ -207,6 +213,7 @@
   for (const auto& [lost_at, request] : std::exchange(crash_suspects_, {})) {
     if (now - lost_at < kCrashDetectionWindow) {
       context_.metrics.Count("pimentomoor_upstream_crashes_total");
+      StartPace(PaceReason::kCrash);
       context_.on_crash(*request);
     }
   }
@@ -222,7 +229,11 @@
 }
 
 void UpstreamLink::SetColdFor(Duration left, TimePoint now) {
+  const bool was_cold = cold(now);
   cold_until_ = now + left;
+  if (!was_cold && left >= kMinPacedColdTime) {
+    StartPace(PaceReason::kCold);
+  }
   ReleaseInadmissible();
 }
 
@@ -293,6 +304,7 @@
   } else if (outcome != ExchangeOutcome::kNotSent) {
     RecordFailure(signals, now);
   }
+  RecordPace(*exchange, outcome, response);
   if (outcome == ExchangeOutcome::kLost) {
     SuspectCrash(exchange);
   }
