Add process tests of callers that keep to no rule

Cause: what callers together can make a daemon hold was never tested. The pages say that clients stay inside the limits, and the doors open to some that don't.

--- a/src/testsuite/gateway_standin_main.cpp
+++ b/src/testsuite/gateway_standin_main.cpp
@@ -1,5 +1,5 @@
 // Program pimentomoor_gateway_standin: `serve` runs stand-ins for the platform's store and searchers on loopback,
-// `load` sends requests to gateway daemons and checks the answers.
+// `load` sends requests to gateway daemons and checks the answers, `crowd` is callers that keep to no rule.
 //
 // Admin calls of `serve`:
 //   /store?mode=ok|unavailable|silent|drop-history
@@ -10,6 +10,7 @@
 //                                           sets a fault of the searchers whose id has the prefix
 #include <tclap/CmdLine.h>
 
+#include "caller_crowd.h"
 #include "gateway_load.h"
 #include "pimentomoor/platform_codec.h"
 #include "program_main.h"
@@ -155,7 +156,7 @@
   using Names = TCLAP::MultiArg<std::string>;
   TCLAP::CmdLine line("Stand-in for the platform of gateway daemons on loopback, and load on the daemons.", ' ',
                       "0.1.0");
-  TCLAP::UnlabeledValueArg<std::string> mode("mode", "What to run.", true, "", "serve|load", line);
+  TCLAP::UnlabeledValueArg<std::string> mode("mode", "What to run.", true, "", "serve|load|crowd", line);
   TCLAP::ValueArg<unsigned> port("", "port",
                                  "Port of the store; the admin server and the searchers use the ports after it.",
                                  false, 21'000, "PORT", line);
@@ -170,6 +171,16 @@
   TCLAP::ValueArg<std::string> key("", "key", "Key that the requests carry.", false, "", "KEY", line);
   TCLAP::ValueArg<std::string> customer("", "customer", "Holder of the key, which searchers have to be told.", false,
                                         "", "NAME", line);
+  TCLAP::ValueArg<std::string> target("", "target", "Listener that a crowd connects to.", false, "", "IP:port", line);
+  TCLAP::ValueArg<std::string> kind("", "kind", "What a crowd sends; see caller_crowd.h.", false, "connect", "KIND",
+                                    line);
+  TCLAP::ValueArg<std::string> path("", "path", "Path of a crowd's requests.", false, "/fetch", "PATH", line);
+  TCLAP::ValueArg<unsigned> connections("", "connections", "Connections of a crowd.", false, 100, "N", line);
+  TCLAP::ValueArg<unsigned> addresses("", "addresses", "Addresses that a crowd comes from.", false, 1, "N", line);
+  TCLAP::ValueArg<unsigned> bytes("", "bytes", "Bytes of a body, or of the requests sent ahead on a connection.", false,
+                                  0, "N", line);
+  TCLAP::ValueArg<unsigned> close_ms("", "close-ms", "Time within which a crowd closes each connection; 0: never.",
+                                     false, 0, "N", line);
   TCLAP::ValueArg<unsigned> seed("", "seed", "Seed of the choice of daemons; 0 draws one.", false, 0, "N", line);
   line.parse(argc, argv);
   const SystemClock clock;
@@ -182,6 +193,19 @@
     loop.Run();
     return 0;
   }
+  if (mode.getValue() == "crowd") {
+    CallerCrowd crowd({.target = target.getValue(),
+                       .kind = kind.getValue(),
+                       .path = path.getValue(),
+                       .connections = connections.getValue(),
+                       .addresses = addresses.getValue(),
+                       .bytes = bytes.getValue(),
+                       .close_after = std::chrono::milliseconds(close_ms.getValue()),
+                       .duration = std::chrono::seconds(seconds.getValue())});
+    crowd.Run();
+    std::cout << "{" << crowd.ReportFields() << "}\n";
+    return 0;
+  }
   if (mode.getValue() != "load" || directories.getValue().empty()) {
     throw std::invalid_argument("run load: give the mode load and at least one --directory");
   }
