Take no response with a status that is none for an answer

Cause: the parser reads any three digits as a status. 600 and 999 reached callers as a searcher's answer; 000, 099 and 101 counted as interim responses, whose number had no bound. The client of the store and of other daemons took an interim response for the answer. Change: 100 and 102 to 599 are read, all else is malformed: the connection is closed, a part that may be repeated goes elsewhere, another request gets 502. At most 8 interim responses precede an answer.

--- a/src/include/pimentomoor/http1_message.h
+++ b/src/include/pimentomoor/http1_message.h
@@ -138,7 +138,12 @@
   std::unique_ptr<Parser> parser_;
 };
 
-/// Reads one response; each response needs a new reader. Reads an interim (1xx) response as a message of its own.
+/// Most interim responses (1xx) that a client skips before the response to one request, so that a server which sends
+/// nothing else is given up.
+constexpr unsigned kMaxInterimResponses = 8;
+
+/// Reads one response; each response needs a new reader. Reads an interim (1xx) response as a message of its own. A
+/// response with any other status than 100 and 102 to 599 is malformed.
 class ResponseReader {
  public:
   /// `head_request` is true for the response to a HEAD request, which has no body. `collect_fields` is true when
--- a/src/include/pimentomoor/persistent_http_client.h
+++ b/src/include/pimentomoor/persistent_http_client.h
@@ -45,6 +45,7 @@
   Callback done_;       // set exactly while a call is running
   std::optional<ResponseReader> reader_;
   std::string unparsed_;  // received bytes that reader_ has not consumed
+  unsigned interim_responses_ = 0;  // that came before the response to the running call
   TimerId timeout_timer_ = 0;
   // The running call was sent over an idle connection, which the server may have closed.
   bool reused_connection_ = false;
--- a/src/libgateway/request_faults_test.cpp
+++ b/src/libgateway/request_faults_test.cpp
@@ -30,6 +30,16 @@
          caller.status() == 503 && caller.Contains("\r\nRetry-After: 0.060\r\n");
 }
 
+// Status lines of responses that are no answers.
+const std::vector<std::string> kNoAnswers{"000 X", "0 X",   "99 X",   "600 X", "999 X", "-20 X",
+                                          "+20 X", "2a0 X", "2000 X", "X",     "101 X"};
+
+// A response with this status line that has all else that a success has.
+std::string ResponseWithStatusLine(const std::string& status_line) {
+  std::string response = IdentifiedResponse(kCallerRequestId, kRecord);
+  return response.replace(response.find(' ') + 1, std::strlen("200 OK"), status_line);
+}
+
 }  // namespace
 
 TEST_GROUP(RequestFaults) { RequestHarness harness; };
@@ -149,6 +159,59 @@
   }
 }
 
+// Guards against passing on, or merging, a response whose status is none of an answer, against sending an unsafe
+// request again after it, and against keeping its connection.
+TEST(RequestFaults, ResponseWithAnotherStatusIsNoAnswer) {
+  for (const std::string& status_line : kNoAnswers) {
+    const SearcherScript odd{.response = ResponseWithStatusLine(status_line)};
+    const SearcherScript good{.response = IdentifiedResponse(kCallerRequestId, kRecord)};
+    RequestHarness single;
+    single.SetRoute(SingleRoute(false));
+    auto& only = single.AddSearcher("s", odd);
+    auto& unsafe = single.Call("POST");
+    CHECK(single.WaitForAnswer(unsafe));
+    CHECK_EQUAL_TEXT(502, unsafe.status(), status_line.c_str());
+    CHECK_EQUAL_TEXT(1U, only.arrivals(), status_line.c_str());
+    RequestHarness gather;
+    gather.SetRoute(GatherRoute(2, 1.0, seconds(1), seconds(2)));
+    gather.AddSearcher("shard-0", odd);
+    gather.AddSearcher("shard-0", good, {.failure_domain = "b"});
+    gather.AddSearcher("shard-1", good);
+    gather.Wait(kRetryBudgetOpensAfter);
+    auto& whole = gather.Call();
+    CHECK(gather.WaitForAnswer(whole));
+    CHECK_EQUAL_TEXT(200, whole.status(), status_line.c_str());
+    CHECK(whole.Contains(std::string(platform_names::kMissingPartsField) + ": 0\r\n"));
+  }
+}
+
+// Guards against interim responses without end, which would hold a connection and its request until the time limit.
+TEST(RequestFaults, InterimResponsesWithoutEndAreNoAnswer) {
+  std::string interim;
+  for (int i = 0; i < 1'000; ++i) {
+    interim += "HTTP/1.1 199 X\r\n\r\n";
+  }
+  harness.SetRoute(SingleRoute(false));
+  harness.AddSearcher("s", {.response = interim + IdentifiedResponse(kCallerRequestId, "late")});
+  auto& unsafe = harness.Call("POST");
+  CHECK(harness.WaitForAnswer(unsafe));
+  CHECK_EQUAL(502, unsafe.status());
+  RequestHarness few;
+  few.SetRoute(SingleRoute(false));
+  few.AddSearcher("s", {.response = interim.substr(0, interim.size() / 1'000 * 3) +
+                                    IdentifiedResponse(kCallerRequestId, "after three")});
+  auto& answered = few.Call("POST");
+  CHECK(few.WaitForAnswer(answered));
+  CHECK(answered.status() == 200 && answered.Contains("after three"));
+  // Without an answer after it, an interim response is none: the request ends at its time limit.
+  RequestHarness none;
+  none.SetRoute(SingleRoute(false));
+  none.AddSearcher("s", {.response = "HTTP/1.1 199 X\r\n\r\n"});
+  auto& unanswered = none.Call("POST");
+  CHECK(none.WaitForAnswer(unanswered));
+  CHECK_EQUAL(504, unanswered.status());
+}
+
 // Guards against refusals that come late, lack Retry-After, or are for a request that an upstream has received.
 TEST(RequestFaults, RefusalComesAtOnceAndReachesNoSearcher) {
   harness.SetRoute(SingleRoute(false));
--- a/src/libgateway/upstream_connection.cpp
+++ b/src/libgateway/upstream_connection.cpp
@@ -60,6 +60,7 @@
   reader_.emplace(link_.context_.names, link_.context_.response_limits, running_exchange_->request->is_head,
                   running_exchange_->request->collect_fields);
   stray_responses_ = 0;
+  interim_responses_ = 0;
   stream_->Write(FormatRequest(*running_exchange_, link_.context_.names, now));
 }
 
@@ -96,6 +97,10 @@
       FinishRunning(ExchangeOutcome::kAnswered, std::move(response), reusable);
       return;
     }
+    if (interim && ++interim_responses_ > kMaxInterimResponses) {
+      FinishRunning(ExchangeOutcome::kMalformed, {}, false);
+      return;
+    }
     if (!interim) {
       // This is a late response to an earlier request. The response to the running request may follow.
       link_.context_.metrics.Count("pimentomoor_upstream_crossed_responses_total");
--- a/src/libgateway/upstream_connection.h
+++ b/src/libgateway/upstream_connection.h
@@ -56,7 +56,8 @@
   TimePoint reusable_until_ = TimePoint::max();
   BufferedBytes buffered_bytes_;  // of the response that is being read
   bool reused_ = false;  // an exchange has ended on this connection; its response carried the id of its request
-  unsigned stray_responses_ = 0;  // responses to earlier requests that came during the running one
+  unsigned stray_responses_ = 0;    // responses to earlier requests that came during the running one
+  unsigned interim_responses_ = 0;  // interim responses that came during the running request
   // Requests that this connection has carried and that may be sent again, because their callers still wait.
   std::vector<std::weak_ptr<const UpstreamRequest>> carried_requests_;
 };
--- a/src/libnet/http1_message.cpp
+++ b/src/libnet/http1_message.cpp
@@ -92,6 +92,10 @@
   return host;
 }
 
+// Whether a response with this status answers a request, or announces that an answer follows. 101 does neither,
+// because no request asks for another protocol. Beast reads any three digits.
+bool IsResponseStatus(int status) { return status >= 100 && status <= 599 && status != 101; }
+
 ReadStatus StatusOf(const error_code& error) {
   if (error == http::error::header_limit) {
     return ReadStatus::kHeadTooLarge;
@@ -353,6 +357,7 @@
   void on_response_impl(int status, string_view, int, error_code& error) final {
     error = {};
     message_.status = status;
+    malformed_ = !IsResponseStatus(status);
   }
   void on_field_impl(http::field field, string_view name, string_view value, error_code& error) final;
   void on_header_impl(error_code& error) final {
--- a/src/libnet/http1_message_test.cpp
+++ b/src/libnet/http1_message_test.cpp
@@ -236,6 +236,24 @@
   CHECK(ReadResponse("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", true).rest == "ab");
 }
 
+// Guards against a response that is taken for an answer, or for the announcement of one, although its status can't be
+// one: such a response of a faulty server reached callers.
+TEST(Http1Message, OnlyStatusesOfAnswersAreRead) {
+  const auto read = [](const std::string& status) {
+    return ReadResponse("HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n").status;
+  };
+  for (const char* status : {"000", "0", "99", "099", "101", "600", "999", "+20", "-20", "2a0", "2000", "", "20"}) {
+    CHECK_TEXT(read(status) == ReadStatus::kMalformed, status);
+  }
+  for (int status = 0; status <= 999; ++status) {
+    const std::string digits = std::to_string(1000 + status).substr(1);
+    const bool valid = status >= 100 && status <= 599 && status != 101;
+    CHECK_TEXT(read(digits) == (valid ? ReadStatus::kComplete : ReadStatus::kMalformed), digits.c_str());
+  }
+  CHECK(ReadResponse("HTTP/1.1 199 X\r\n").status == ReadStatus::kNeedMore);
+  CHECK(ReadResponse("HTTP/1.1 199 X\r\n").end == ReadStatus::kMalformed);
+}
+
 // Guards against an interim response that includes the final one. An interim response ends after its head.
 TEST(Http1Message, InterimResponseEndsAfterItsHead) {
   const auto read = ReadResponse("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n\r\n");
--- a/src/libnet/persistent_http_client.cpp
+++ b/src/libnet/persistent_http_client.cpp
@@ -38,6 +38,7 @@
   }
   reader_.emplace(names_, kResponseLimits, false, false);
   unparsed_.clear();
+  interim_responses_ = 0;
   if (stream_ == nullptr) {
     return;  // connecting failed immediately; the timeout timer reports it
   }
@@ -59,7 +60,14 @@
   }
   unparsed_.append(bytes);
   std::string_view rest = unparsed_;
-  const ReadStatus status = reader_->Read(rest);
+  ReadStatus status = reader_->Read(rest);
+  while (status == ReadStatus::kComplete && reader_->message().status < 200) {
+    status = ReadStatus::kMalformed;
+    if (++interim_responses_ <= kMaxInterimResponses) {
+      reader_.emplace(names_, kResponseLimits, false, false);
+      status = reader_->Read(rest);
+    }
+  }
   if (status == ReadStatus::kNeedMore) {
     unparsed_.erase(0, unparsed_.size() - rest.size());
     return;
