--- a/src/libgateway/upstream_connection.h
+++ b/src/libgateway/upstream_connection.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "pimentomoor/tcp_stream.h"
@@ -40,6 +41,10 @@
   void OnConnected() override;
   void OnData(std::string_view bytes) override;
   void OnEnd(StreamEnd end) override;
+  void OnDrained() override;
+  void SendRequest(TimePoint now);
+  /// Sends as much of unsent_body_ as the kernel takes.
+  void SendBody();
   void OnResponseRevoked();
   /// Whether the response is certain to answer the running request. One without a request id is so only on a
   /// connection that has carried no other request; it could else be a late response to an earlier one.
@@ -57,13 +62,15 @@
   UpstreamExchangePtr running_exchange_;  // null while idle
   std::optional<ResponseReader> reader_;  // set exactly while a request is running
   std::string unparsed_;                  // received response bytes that are not parsed yet
+  std::string_view unsent_body_;          // rest of the running request's body; empty while idle
   TimePoint opened_at_;
   TimePoint reusable_until_ = TimePoint::max();
   BufferedBytes buffered_bytes_;  // of the response that is being read
   bool notice_read_ = false;      // of the response that is being read
   bool sender_verified_ = false;  // an answer showed that the other end is the expected upstream
   bool reused_ = false;  // an exchange has ended on this connection; its response carried the id of its request
-  unsigned stray_responses_ = 0;  // responses to earlier requests that came during the running one
+  unsigned stray_responses_ = 0;    // responses to earlier requests that came during the running one
+  unsigned interim_responses_ = 0;  // interim responses that came during the running request
   // Requests that this connection has carried and that may be sent again, because their callers still wait.
   std::vector<std::weak_ptr<const UpstreamRequest>> carried_requests_;
 };
--- a/src/libnet/http1_message.cpp
+++ b/src/libnet/http1_message.cpp
@@ -86,12 +86,19 @@
   fields = std::move(remaining_fields);
 }
 
+// The part of a body's memory that was reserved and never written isn't occupied.
+std::size_t OccupiedBytes(const std::string& body) { return std::min(body.capacity(), 2 * body.size()); }
+
 std::string HostWithoutPort(std::string_view value) {
   std::string host(value.substr(0, value.find(':')));
   std::transform(host.begin(), host.end(), host.begin(), LowerCase);
   return host;
 }
 
+// Whether a response with this status answers a request, or announces that an answer follows. 101 does neither,
+// because no request asks for another protocol. Beast reads any three digits.
+bool IsResponseStatus(int status) { return status >= 100 && status <= 599 && status != 101; }
+
 ReadStatus StatusOf(const error_code& error) {
   if (error == http::error::header_limit) {
     return ReadStatus::kHeadTooLarge;
@@ -338,6 +345,10 @@
 bool RequestReader::started() const { return parser_->started(); }
 bool RequestReader::head_complete() const { return parser_->is_header_done(); }
 RequestMessage& RequestReader::message() { return parser_->message(); }
+std::size_t RequestReader::held_bytes() const {
+  const RequestMessage& message = parser_->message();
+  return OccupiedBytes(message.body) + message.forward_fields.capacity() + message.target.capacity();
+}
 
 class ResponseReader::Parser final : public MessageParser<false, ResponseMessage> {
  public:
@@ -353,6 +364,7 @@
   void on_response_impl(int status, string_view, int, error_code& error) final {
     error = {};
     message_.status = status;
+    malformed_ = !IsResponseStatus(status);
   }
   void on_field_impl(http::field field, string_view name, string_view value, error_code& error) final;
   void on_header_impl(error_code& error) final {
@@ -434,8 +446,7 @@
 
 std::size_t ResponseReader::held_bytes() const {
   const ResponseMessage& message = parser_->message();
-  // The part of the body's memory that was reserved and never written isn't occupied.
-  return std::min(message.body.capacity(), 2 * message.body.size()) + message.forward_fields.capacity();
+  return OccupiedBytes(message.body) + message.forward_fields.capacity();
 }
 
 ReadStatus ResponseReader::ReadEnd() {
--- a/src/libnet/persistent_http_client.cpp
+++ b/src/libnet/persistent_http_client.cpp
@@ -13,8 +13,16 @@
 
 }  // namespace
 
-PersistentHttpClient::PersistentHttpClient(EventLoop& loop, const FieldNames& names, std::string address)
-    : loop_(loop), names_(names), address_(std::move(address)) {}
+PersistentHttpClient::PersistentHttpClient(EventLoop& loop, const FieldNames& names, std::string address,
+                                           BufferBudget* budget)
+    : loop_(loop), names_(names), address_(std::move(address)) {
+  if (budget != nullptr) {
+    held_.emplace(*budget, address_, [this] {
+      CloseStream();
+      Finish(std::nullopt);
+    });
+  }
+}
 
 PersistentHttpClient::~PersistentHttpClient() { loop_.Cancel(timeout_timer_); }
 
@@ -48,6 +56,7 @@
   }
   reader_.emplace(names_, kResponseLimits, false, false);
   unparsed_.clear();
+  interim_responses_ = 0;
   if (stream_ == nullptr) {
     return;  // connecting failed immediately; the timeout timer reports it
   }
@@ -64,10 +73,18 @@
   done_ = nullptr;
   loop_.Cancel(timeout_timer_);
   CloseStream();
+  std::string().swap(unparsed_);  // an assignment would keep the memory
+  CountHeld();
 }
 
 void PersistentHttpClient::CloseStream() { stream_.reset(); }
 
+void PersistentHttpClient::CountHeld() {
+  if (held_) {
+    held_->Set(done_ ? reader_->held_bytes() + unparsed_.capacity() : 0);
+  }
+}
+
 void PersistentHttpClient::OnData(std::string_view bytes) {
   if (!done_) {
     CloseStream();  // the server sent bytes although no call is running
@@ -75,9 +92,17 @@
   }
   unparsed_.append(bytes);
   std::string_view rest = unparsed_;
-  const ReadStatus status = reader_->Read(rest);
+  ReadStatus status = reader_->Read(rest);
+  while (status == ReadStatus::kComplete && reader_->message().status < 200) {
+    status = ReadStatus::kMalformed;
+    if (++interim_responses_ <= kMaxInterimResponses) {
+      reader_.emplace(names_, kResponseLimits, false, false);
+      status = reader_->Read(rest);
+    }
+  }
   if (status == ReadStatus::kNeedMore) {
     unparsed_.erase(0, unparsed_.size() - rest.size());
+    CountHeld();
     return;
   }
   if (status != ReadStatus::kComplete) {
@@ -113,6 +138,11 @@
 void PersistentHttpClient::Finish(std::optional<ResponseMessage> response) {
   loop_.Cancel(timeout_timer_);
   const Callback done = std::exchange(done_, nullptr);
+  if (!response) {
+    reader_.reset();
+  }
+  std::string().swap(unparsed_);  // an assignment would keep the memory
+  CountHeld();
   if (done) {
     loop_.Post([done, response = std::move(response)]() mutable { done(std::move(response)); });
   }
