Keep in force what a store restored from an older copy has lost

Cause: a store that comes back from a copy some seconds old gives revisions out again. Feeds and peers compared revisions alone, so they ignored the new state for as long as it was behind, took reissued revisions for known ones, and would have undone drains, outages and removals. Change: answers belong to eras of the store (Store-Era), and states are ordered by era and revision. RecordState, split from RecordFeed, carries over what was known last in earlier eras and agrees on it with peers; heartbeats and records name their era. A new era is listed completely by all feeds. The store stand-in can be restored.

--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -72,10 +73,18 @@
   [[nodiscard]] const std::vector<std::string>& DirectoryAddresses();
 
   void FillHeartbeat(proto::GatewayHeartbeat& heartbeat) const;
-  void RespondRecords(CallerExchange& exchange, const RecordFeed& feed, std::uint64_t after);
+  /// Answers the requests of other daemons for records. Returns false for other targets.
+  [[nodiscard]] bool HandleRecords(CallerExchange& exchange);
+  void FillRecordPositions(proto::GatewayHeartbeat& heartbeat) const;
+  /// Remembers which records the sender knows and this daemon lacks.
+  void NoteRecordPositions(const proto::GatewayHeartbeat& heartbeat);
   void OnHeartbeat(const proto::GatewayHeartbeat& heartbeat);
   /// Fetches records that peers have and this daemon lacks, or asks the store for them again.
   void CatchUpWithPeers();
+  void CatchUpWithPeer(RecordFeed& feed);
+  /// Reports a new era of the store, and makes the feeds that have not seen it call the store.
+  void FollowStoreEra();
+  void FetchCarriedRecords(RecordFeed& feed);
   /// Decides for each feed whether this daemon reads changes from the store or from peers.
   void ChooseFeedSource();
   [[nodiscard]] bool IsStoreAvailable() const;
@@ -102,14 +111,26 @@
   std::shared_ptr<const RoutingTable> routing_table_;  // null until a routing table has been read
   TimePoint routing_table_since_{};                    // time at which routing_table_ was adopted
   std::array<std::unique_ptr<RecordFeed>, kRecordKindCount> feeds_;
-  /// Newest revision of one record kind that a peer has announced and this daemon lacks.
+  /// Newest change of one record kind that a peer has announced and this daemon lacks.
   struct PeerRevision {
-    std::uint64_t content_revision = 0;
+    StorePosition position;
     std::string peer_address;
     bool same_domain = false;  // the peer is in this daemon's failure domain
     TimePoint known_since{};
   };
-  std::array<PeerRevision, kRecordKindCount> peer_revisions_;  // content_revision 0: no such peer
+  std::array<PeerRevision, kRecordKindCount> peer_revisions_;  // position.revision 0: no such peer
+  /// A peer that carries other records over from the previous era of the store than this daemon.
+  struct CarryingPeer {
+    std::string address;               // empty: none
+    std::uint64_t digest = 0;          // of what the peer carries
+    std::uint64_t fetched_digest = 0;  // the last one that was fetched, and this daemon's digest after it
+    std::uint64_t digest_after_fetch = 0;
+    TimePoint fetched_at{};
+  };
+  std::array<CarryingPeer, kRecordKindCount> carrying_peers_;
+  std::optional<std::uint64_t> store_era_;  // newest known era; nothing before the first records
+  TimePoint store_era_since_{};             // time at which store_era_ became known
+  std::uint64_t routing_table_era_ = 0;     // era of the record of routing_table_
   TimePoint started_at_{};
   TimePoint live_peers_applied_at_{};
   TimePoint load_measured_at_{};
--- a/src/include/pimentomoor/record_feed.h
+++ b/src/include/pimentomoor/record_feed.h
@@ -4,9 +4,9 @@
 #pragma once
 
 #include <algorithm>
-#include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,6 +14,7 @@
 #include "pimentomoor/metrics.h"
 #include "pimentomoor/persistent_http_client.h"
 #include "pimentomoor/platform_codec.h"
+#include "pimentomoor/record_state.h"
 
 namespace pimentomoor {
 
@@ -30,6 +31,13 @@
   Duration watch_timeout_margin = std::chrono::milliseconds(700);
   // Time between the starts of two watches, so that changes in quick succession share one call.
   Duration min_watch_interval = std::chrono::milliseconds(100);
+  // Time between two lists for new eras, so that a store whose era rises with each answer is not listed all the time.
+  Duration min_era_list_interval = std::chrono::seconds(1);
+  // Time for which a feed that follows peers waits for them to deliver a new era before it lists the store.
+  Duration peer_era_wait = std::chrono::milliseconds(1'500);
+  // Time before a list for a new era. While the store doesn't answer, all daemons call it; those that don't have to
+  // read it are told so within this time after its return.
+  Duration source_choice_wait = std::chrono::milliseconds(150);
   Duration min_backoff = std::chrono::milliseconds(100);
   Duration max_backoff = std::chrono::milliseconds(1'500);
   // Maximum backoff before the first list. Nothing is served until then, so the return of the store has to be noticed
@@ -46,24 +54,6 @@
   friend bool operator==(const RecordFeedOptions&, const RecordFeedOptions&) = default;
 };
 
-struct RemovedRecord {
-  std::string name;
-  std::uint64_t revision = 0;  // store revision at which the record was known to be gone
-
-  friend bool operator==(const RemovedRecord&, const RemovedRecord&) = default;
-};
-
-/// What one daemon knows of a kind after a revision that another one named. Sent as proto::GatewayRecords, whose
-/// fields `records`, `names` and `lists_names` hold `changed`, `existing_names` and `lists_existing_names`.
-struct RecordDelta {
-  std::uint64_t store_revision = 0;    // store revision up to which the records are complete
-  std::uint64_t content_revision = 0;  // revision of the newest change
-  std::vector<StoredRecord> changed;
-  std::vector<std::string> existing_names;  // names of all existing records when lists_existing_names is set
-  std::vector<RemovedRecord> removed;       // removals, when lists_existing_names is not set
-  bool lists_existing_names = true;
-};
-
 class RecordFeed {
  public:
   struct Handlers {
@@ -71,6 +61,8 @@
     std::function<void(const std::string& name)> on_delete;
     std::function<void()> on_batch_applied;               // called after the changes of one answer or delta
     std::function<void()> on_store_availability_changed;  // called when the store stops answering or answers again
+    /// Orders the states of a record across eras of the store; may be unset.
+    std::function<ContentVersion(const StoredRecord&)> content_version;
   };
   /// Where changes come from.
   enum class Source {
@@ -86,29 +78,46 @@
   /// Sets the source of changes. The first one is kPeers.
   void SetSource(Source source);
 
-  /// Applies the records that a peer knows. Ignored when this daemon knows as much.
-  void Adopt(const RecordDelta& delta);
-  /// Changes after revision `after`, up to which the asking daemon knows everything. Names all existing records when
-  /// this daemon no longer knows which ones were removed since.
-  [[nodiscard]] RecordDelta MakeDelta(std::uint64_t after) const;
-  /// Revision up to which this daemon knows everything. The daemon names it to a peer, which passes it to
+  /// Applies the records that a peer knows. Ignored when this daemon knows as much, or a later era. Returns whether
+  /// anything was applied.
+  bool Adopt(const RecordDelta& delta);
+  /// Changes after `after`, up to which the asking daemon knows everything; see RecordState::MakeDelta().
+  [[nodiscard]] RecordDelta MakeDelta(StorePosition after) const;
+  /// Position up to which this daemon knows everything. The daemon names it to a peer, which passes it to
   /// MakeDelta().
-  [[nodiscard]] std::uint64_t delta_base_revision() const { return std::min(store_revision_, content_revision_); }
+  [[nodiscard]] StorePosition delta_base() const {
+    return {.era = era(), .revision = std::min(state_.store_revision(), state_.content_revision())};
+  }
 
-  /// Calls the store anew because a peer knows a change of `content_revision` that neither the running watch nor a
-  /// peer has delivered. Does so at most once for a revision.
-  void Recheck(std::uint64_t content_revision);
+  /// Calls the store anew because a peer, or the feed of another kind, knows a change or an era that neither the
+  /// running watch nor a peer has delivered. Does so at most once for a position.
+  void Recheck(StorePosition position);
 
   [[nodiscard]] RecordKind kind() const { return kind_; }
   /// Whether the records were known completely once, from a list or a peer.
-  [[nodiscard]] bool loaded() const { return store_revision_ > 0; }
+  [[nodiscard]] bool loaded() const { return state_.loaded(); }
+  /// Era of the store to which records() and the revisions belong: the number of restorations as the store states it,
+  /// 0 when it states none. Revisions of different eras must not be compared.
+  [[nodiscard]] std::uint64_t era() const { return state_.era(); }
+  /// Newest era that the store has shown to this feed, of which the records may not be known yet.
+  [[nodiscard]] std::uint64_t newest_era() const { return std::max(view_.era, state_.era()); }
   /// Store revision up to which records() is complete; 0 before the first list.
-  [[nodiscard]] std::uint64_t store_revision() const { return store_revision_; }
+  [[nodiscard]] std::uint64_t store_revision() const { return state_.store_revision(); }
   /// Revision of the newest known change of this kind; the same at every daemon that knows the change.
-  [[nodiscard]] std::uint64_t content_revision() const { return content_revision_; }
+  [[nodiscard]] std::uint64_t content_revision() const { return state_.content_revision(); }
+  /// Era and revision of the newest known change.
+  [[nodiscard]] StorePosition content_position() const { return {.era = era(), .revision = content_revision()}; }
   /// Time at which this daemon last learned of a change; unset before the first list.
-  [[nodiscard]] TimePoint changed_at() const { return changed_at_; }
-  [[nodiscard]] const std::map<std::string, StoredRecord>& records() const { return records_; }
+  [[nodiscard]] TimePoint changed_at() const { return state_.changed_at(); }
+  /// The records as the store has them.
+  [[nodiscard]] const std::map<std::string, StoredRecord>& records() const { return state_.records(); }
+  /// Names of the records in force, which differ from those of records() after a restoration of the store.
+  [[nodiscard]] std::set<std::string> NamesInForce() const { return state_.NamesInForce(); }
+  /// Digest of what was carried over from the previous era and is told to peers; 0 when there is nothing.
+  [[nodiscard]] std::uint64_t carried_digest() const {
+    return PolicyOf(kind_).keeps_lost ? DigestCarried(state_.carried()) : 0;
+  }
+  [[nodiscard]] const RecordState& state() const { return state_; }
   [[nodiscard]] Source source() const { return source_; }
   /// Time since which the store has not answered this daemon; TimePoint::max() while it answers.
   [[nodiscard]] TimePoint store_unavailable_since() const { return store_unavailable_since_; }
@@ -123,15 +132,17 @@
   void OnWatchAnswer(const std::optional<ResponseMessage>& response);
   /// Counts records that were left out because they have no readable name, and logs the first ones.
   void CountUnreadable(std::size_t records);
-  /// Applies a complete list, unless a newer state is known.
-  void ApplyList(std::vector<StoredRecord> records);
-  /// Whether a newer change or removal of the record is known than one of `revision`.
-  [[nodiscard]] bool IsSuperseded(const std::string& name, std::uint64_t revision) const;
-  void Put(StoredRecord record);
-  void RemoveAllExcept(const std::vector<std::string>& names, std::uint64_t revision);
-  void Remove(const std::string& name, std::uint64_t revision);
+  /// Reads the era of an answer. Returns false when the answer must not be applied: the next call is scheduled then.
+  [[nodiscard]] bool AcceptEra(const ResponseMessage& response);
+  /// Lists the store next, for the first time in a new era.
+  void ScheduleEraList();
+  /// Whether the next call is a list.
+  [[nodiscard]] bool NeedsList() const { return !loaded() || list_pending_ || view_.era > era(); }
+  /// Calls on_batch_applied, and sees to the end of what is carried over.
+  void OnApplied();
   void OnCallFailed();
   void OnCallSucceeded();
+  void SetStoreAvailable();
   void ScheduleCall(Duration delay);
 
   EventLoop& loop_;
@@ -143,26 +154,25 @@
   PersistentHttpClient client_;
   Jitter jitter_;
   Source source_ = Source::kPeers;
-  std::map<std::string, StoredRecord> records_;
-  std::uint64_t store_revision_ = 0;
-  std::uint64_t content_revision_ = 0;
-  TimePoint changed_at_{};
-  std::deque<RemovedRecord> removals_;         // oldest first, at most kMaxRememberedRemovals
-  std::uint64_t removals_complete_after_ = 0;  // revision after which removals_ is complete; 0 before the first list
-  std::uint64_t rechecked_revision_ = 0;       // content revision of a peer for which Recheck called the store
-  std::vector<StoredRecord> listed_records_;   // records in the pages of the running list
+  RecordState state_;
+  StoreEraView view_;          // eras in the store's answers
+  StorePosition rechecked_{};  // position for which Recheck called the store
+  TimePoint last_era_list_at_{};
+  std::vector<StoredRecord> listed_records_;  // records in the pages of the running list
   std::size_t listed_pages_ = 0;
   std::size_t listed_bytes_ = 0;
   // Store revision of the running list's first page. The watch begins there, and so delivers the changes made between
   // the pages.
   std::uint64_t first_page_revision_ = 0;
-  bool list_pending_ = false;  // whether the next call lists; a list that failed starts over
-  bool call_pending_ = false;  // whether a call is running or due
+  std::uint64_t list_era_ = 0;  // era of the running list
+  bool list_pending_ = false;   // whether the next call lists; a list that failed starts over
+  bool call_pending_ = false;   // whether a call is running or due
   bool unreadable_logged_ = false;
   TimePoint last_watch_at_{};
   TimePoint store_unavailable_since_ = TimePoint::max();
   unsigned consecutive_failures_ = 0;
   TimerId timer_ = 0;
+  TimerId expiry_timer_ = 0;  // of what is carried over
 };
 
 }  // namespace pimentomoor
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -2,7 +2,6 @@
 #include "pimentomoor/gateway.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 #include <utility>
 
@@ -26,15 +25,8 @@
 constexpr Duration kSeedAnswerWait = std::chrono::milliseconds(300);
 constexpr Duration kFollowerSeedAnswerWait = std::chrono::milliseconds(1'500);
 constexpr Duration kLoadInterval = std::chrono::seconds(1);
-// Time within which this daemon's own watch usually reports a change that a peer announced. The daemon then fetches
-// the change from the peer or asks the store again.
-constexpr Duration kOwnWatchDelay = std::chrono::milliseconds(250);
-// Timeout of a fetch from a peer, and time after which the store is asked for a change that no peer has delivered.
-constexpr Duration kPeerFetchTimeout = std::chrono::milliseconds(1'000);
 constexpr std::size_t kMaxSmallBodyBytes = 4'096;  // body limit of all listeners except that for callers
 
-std::string RecordsPath(RecordKind kind) { return "/records/" + std::to_string(static_cast<int>(kind)); }
-
 }  // namespace
 
 Gateway::Gateway(EventLoop& loop, GatewaySettings settings, const PlatformCodec& codec)
@@ -106,7 +98,13 @@
   build(RecordKind::kUpstreams,
         {.on_put = [this](const StoredRecord& record) { OnUpstreamRecord(record); },
          .on_delete = [this](const std::string& name) { OnUpstreamDeleted(name); },
-         .on_batch_applied = [this] { ScheduleAnnouncement(); }},
+         .on_batch_applied = [this] { ScheduleAnnouncement(); },
+         .content_version =
+             [this](const StoredRecord& record) {
+               const auto entry = codec_.ParseUpstream(record);
+               return entry ? ContentVersion{.birth = entry->start_unix_ms, .sequence = entry->sequence}
+                            : ContentVersion{};
+             }},
         kUpstreamWatchInterval);
   build(RecordKind::kOutages,
         {.on_put = [](const StoredRecord&) {},
@@ -248,9 +246,16 @@
   }
   try {
     RoutingTableSpec spec = codec_.ParseRoutingTable(record.payload);
-    if (routing_table_ != nullptr && spec.version <= routing_table_->version()) {
-      return;
+    const std::uint64_t era = feed(RecordKind::kRouting).era();
+    if (routing_table_ != nullptr) {
+      // A restored store may have lost a version, and the operator may give its number to another table.
+      const bool reissued = spec.version == routing_table_->version() && era > routing_table_era_ &&
+                            record.revision > 0 && spec != routing_table_->spec();
+      if (spec.version <= routing_table_->version() && !reissued) {
+        return;
+      }
     }
+    routing_table_era_ = era;
     routing_table_ = std::make_shared<RoutingTable>(std::move(spec));
     routing_table_since_ = loop_.Now();
     upstreams_.ApplyServices(routing_table_->spec().services);
@@ -311,11 +316,7 @@
 }
 
 void Gateway::OnOutagesChanged() {
-  std::set<std::string> failure_domains;
-  for (const auto& [name, record] : feed(RecordKind::kOutages).records()) {
-    failure_domains.insert(name);
-  }
-  upstreams_.SetOutages(std::move(failure_domains));
+  upstreams_.SetOutages(feed(RecordKind::kOutages).NamesInForce());
   ScheduleAnnouncement();
 }
 
@@ -382,42 +383,12 @@
   if (HandleInspection(*exchange)) {
     return;
   }
-  constexpr std::string_view kAfter = "?after=";
-  for (const auto& feed : feeds_) {
-    const std::string path = RecordsPath(feed->kind()).append(kAfter);
-    if (target.starts_with(path)) {
-      std::uint64_t after = 0;
-      std::from_chars(target.data() + path.size(), target.data() + target.size(), after);
-      RespondRecords(*exchange, *feed, after);
-      return;
-    }
+  if (HandleRecords(*exchange)) {
+    return;
   }
   exchange->Respond({.status = 404});
 }
 
-void Gateway::RespondRecords(CallerExchange& exchange, const RecordFeed& feed, std::uint64_t after) {
-  const RecordDelta delta = feed.MakeDelta(after);
-  proto::GatewayRecords message;
-  message.set_store_revision(delta.store_revision);
-  message.set_content_revision(delta.content_revision);
-  for (const auto& record : delta.changed) {
-    auto* copy = message.add_records();
-    copy->set_name(record.name);
-    copy->set_revision(record.revision);
-    copy->set_payload(record.payload);
-  }
-  for (const auto& name : delta.existing_names) {
-    message.add_names(name);
-  }
-  for (const auto& gone : delta.removed) {
-    auto* copy = message.add_removed();
-    copy->set_name(gone.name);
-    copy->set_revision(gone.revision);
-  }
-  message.set_lists_names(delta.lists_existing_names);
-  exchange.Respond({.status = feed.loaded() ? 200 : 503, .body = message.SerializeAsString()});
-}
-
 void Gateway::FillHeartbeat(proto::GatewayHeartbeat& heartbeat) const {
   auto* self = heartbeat.mutable_sender();
   self->set_host(settings_.host);
@@ -439,15 +410,10 @@
     report->set_sightings(entry.sightings);
     report->set_age_s(static_cast<std::uint32_t>(entry.age / std::chrono::seconds(1)));
   }
-  heartbeat.clear_content_revisions();
-  for (const auto& feed : feeds_) {
-    heartbeat.add_content_revisions(feed->loaded() ? std::max<std::uint64_t>(feed->content_revision(), 1) : 0);
-  }
+  FillRecordPositions(heartbeat);
 }
 
 void Gateway::OnHeartbeat(const proto::GatewayHeartbeat& heartbeat) {
-  const auto& sender = heartbeat.sender();
-  const bool same_domain = sender.failure_domain() == settings_.failure_domain;
   for (const auto& report : heartbeat.crashes()) {
     crashes_.Merge({.fingerprint = report.fingerprint(),
                     .reporter = report.reporter(),
@@ -461,73 +427,7 @@
   if (heartbeat.crashes_size() > 0) {
     LogRefusedRequests();
   }
-  for (const auto& feed : feeds_) {
-    const auto index = static_cast<std::size_t>(feed->kind());
-    if (static_cast<int>(index) >= heartbeat.content_revisions_size()) {
-      continue;
-    }
-    PeerRevision& peer_revision = peer_revisions_[index];
-    const std::uint64_t revision = heartbeat.content_revisions(static_cast<int>(index));
-    const bool unknown_here = revision > feed->content_revision();
-    if (unknown_here && (revision > peer_revision.content_revision ||
-                         (revision == peer_revision.content_revision && same_domain && !peer_revision.same_domain))) {
-      const TimePoint known_since = peer_revision.content_revision == 0 ? loop_.Now() : peer_revision.known_since;
-      peer_revision = {.content_revision = revision,
-                       .peer_address = sender.peer_address(),
-                       .same_domain = same_domain,
-                       .known_since = known_since};
-    }
-  }
-}
-
-void Gateway::CatchUpWithPeers() {
-  for (const auto& feed : feeds_) {
-    PeerRevision& peer_revision = peer_revisions_[static_cast<std::size_t>(feed->kind())];
-    if (peer_revision.content_revision <= feed->content_revision()) {
-      peer_revision = {};
-      continue;
-    }
-    const Duration waited = loop_.Now() - peer_revision.known_since;
-    const bool from_peers =
-        feed->source() == RecordFeed::Source::kPeers || feed->store_unavailable() || !feed->loaded();
-    if (from_peers && (peer_revision.same_domain || !feed->loaded() || waited >= kOwnWatchDelay)) {
-      FetchFromPeer(peer_revision.peer_address, *feed);
-    }
-    if (feed->loaded() && waited >= (from_peers ? kPeerFetchTimeout : kOwnWatchDelay)) {
-      feed->Recheck(peer_revision.content_revision);
-    }
-  }
-}
-
-void Gateway::FetchFromPeer(const std::string& address, RecordFeed& feed) {
-  if (fetch_running_) {
-    return;  // only one fetch runs at a time; the next tick starts another
-  }
-  fetch_running_ = true;
-  if (peer_client_ == nullptr || peer_client_->address() != address) {
-    peer_client_ = std::make_unique<PersistentHttpClient>(loop_, codec_.field_names(), address);
-  }
-  const std::string target =
-      RecordsPath(feed.kind()) + "?after=" + std::to_string(feed.loaded() ? feed.delta_base_revision() : 0);
-  peer_client_->Get(target, kPeerFetchTimeout, [this, &feed](const std::optional<ResponseMessage>& response) {
-    fetch_running_ = false;
-    proto::GatewayRecords message;
-    if (!response || response->status != 200 || !message.ParseFromString(response->body)) {
-      metrics_.Count("pimentomoor_gateway_fetch_failures_total");
-      peer_revisions_[static_cast<std::size_t>(feed.kind())] = {};  // the next heartbeat may name another peer
-      return;
-    }
-    RecordDelta delta{.store_revision = message.store_revision(), .content_revision = message.content_revision()};
-    for (const auto& record : message.records()) {
-      delta.changed.push_back({.name = record.name(), .revision = record.revision(), .payload = record.payload()});
-    }
-    delta.existing_names.assign(message.names().begin(), message.names().end());
-    for (const auto& gone : message.removed()) {
-      delta.removed.push_back({.name = gone.name(), .revision = gone.revision()});
-    }
-    delta.lists_existing_names = message.lists_names();
-    feed.Adopt(delta);
-  });
+  NoteRecordPositions(heartbeat);
 }
 
 void Gateway::ApplySettings(const GatewaySettings& settings) {
--- a/src/libgateway/gateway_status.cpp
+++ b/src/libgateway/gateway_status.cpp
@@ -124,7 +124,12 @@
   out << ",\n\"store\":{";
   for (const auto& feed : feeds_) {
     out << (feed->kind() == RecordKind::kRouting ? "" : ",") << JsonQuote(ToString(feed->kind()))
-        << ":{\"revision\":" << feed->store_revision() << ",\"answers\":" << JsonBool(!feed->store_unavailable())
+        << ":{\"revision\":" << feed->store_revision();
+    if (feed->newest_era() > 0) {  // the store states eras
+      out << ",\"era\":" << feed->era() << ",\"suppressed\":" << feed->state().suppressed_count()
+          << ",\"kept\":" << feed->state().lost_count();
+    }
+    out << ",\"answers\":" << JsonBool(!feed->store_unavailable())
         << ",\"failing_ms\":" << (feed->store_unavailable() ? AgeMs(feed->store_unavailable_since(), now) : "null")
         << ",\"source\":\"" << (feed->source() == RecordFeed::Source::kPeers ? "peers" : "store")
         << "\",\"changed_ms\":" << AgeMs(feed->changed_at(), now) << "}";
--- a/src/libgateway/member_exchange.cpp
+++ b/src/libgateway/member_exchange.cpp
@@ -58,6 +58,8 @@
 void MemberExchange::AddDatagram(const std::string& address, proto::GatewayHeartbeat heartbeat,
                                  std::vector<MemberDatagram>& out) {
   *heartbeat.mutable_content_revisions() = self_heartbeat_.content_revisions();
+  *heartbeat.mutable_store_eras() = self_heartbeat_.store_eras();
+  *heartbeat.mutable_carried_digests() = self_heartbeat_.carried_digests();
   heartbeat.set_interval_ms(static_cast<std::uint32_t>(heartbeat_interval_ / std::chrono::milliseconds(1)));
   heartbeat.set_crashes_digest(crashes_digest_);
   const int report_count = self_heartbeat_.crashes_size();
--- a/src/libgateway/record_feed.cpp
+++ b/src/libgateway/record_feed.cpp
@@ -2,20 +2,12 @@
 #include "pimentomoor/record_feed.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "pimentomoor/log.h"
 
 namespace pimentomoor {
 
-namespace {
-
-// Enough for several minutes of removals. Daemons that ask for older ones get the names of all records.
-constexpr std::size_t kMaxRememberedRemovals = 1'024;
-
-}  // namespace
-
 RecordFeed::RecordFeed(EventLoop& loop, Metrics& metrics, const PlatformCodec& codec, RecordKind kind,
                        std::string address, Handlers handlers, RecordFeedOptions options)
     : loop_(loop),
@@ -24,9 +16,17 @@
       kind_(kind),
       handlers_(std::move(handlers)),
       options_(options),
-      client_(loop, codec.field_names(), std::move(address)) {}
+      client_(loop, codec.field_names(), std::move(address)),
+      state_(kind, options.max_entry_bytes,
+             {.on_put = handlers_.on_put,
+              .on_delete = handlers_.on_delete,
+              .on_oversized = [this] { metrics_.Count("pimentomoor_store_oversized_records_total"); },
+              .content_version = handlers_.content_version}) {}
 
-RecordFeed::~RecordFeed() { loop_.Cancel(timer_); }
+RecordFeed::~RecordFeed() {
+  loop_.Cancel(timer_);
+  loop_.Cancel(expiry_timer_);
+}
 
 void RecordFeed::SetSource(Source source) {
   if (source == source_) {
@@ -41,7 +41,7 @@
     loop_.Cancel(timer_);
     call_pending_ = false;
     listed_records_.clear();
-  } else if (!list_pending_ || !call_pending_) {
+  } else if (!list_pending_ || !call_pending_ || view_.era > era()) {
     client_.Abort();  // ends a running watch, which has the wait of the previous source
     ScheduleCall(Duration::zero());
   }
@@ -54,7 +54,7 @@
 }
 
 void RecordFeed::StartCall() {
-  if (!loaded() || list_pending_) {
+  if (NeedsList()) {
     StartList();
   } else {
     StartWatch();
@@ -63,6 +63,9 @@
 
 void RecordFeed::StartList() {
   list_pending_ = true;
+  if (view_.era > era()) {
+    last_era_list_at_ = loop_.Now();
+  }
   if (listed_records_.empty()) {
     listed_pages_ = 0;
     listed_bytes_ = 0;
@@ -80,8 +83,16 @@
   }
   try {
     RecordPage page = codec_.ParsePage(response->body);
-    if (listed_records_.empty()) {
+    const bool first_page = listed_records_.empty();
+    if (!AcceptEra(*response)) {
+      return;
+    }
+    if (first_page) {
       first_page_revision_ = page.store_revision;
+      list_era_ = view_.era;
+    } else if (list_era_ != view_.era) {  // restored between two pages
+      ScheduleEraList();
+      return;
     }
     CountUnreadable(page.unreadable_records);
     if (page.has_more && page.records.empty() && page.unreadable_records > 0) {
@@ -114,38 +125,45 @@
     return;
   }
   list_pending_ = false;
-  ApplyList(std::exchange(listed_records_, {}));
+  if (state_.ApplyList({.era = list_era_, .revision = first_page_revision_}, std::exchange(listed_records_, {}),
+                       loop_.Now())) {
+    OnApplied();
+  }
   OnCallSucceeded();
 }
 
-void RecordFeed::ApplyList(std::vector<StoredRecord> records) {
-  if (first_page_revision_ < store_revision_) {
-    return;  // a peer has delivered a newer state since the list began
-  }
-  store_revision_ = first_page_revision_;
-  std::vector<std::string> names;
-  for (auto& record : records) {
-    names.push_back(record.name);
-    if (!IsSuperseded(record.name, record.revision)) {
-      Put(std::move(record));
-    }
+bool RecordFeed::AcceptEra(const ResponseMessage& response) {
+  if (ClassifyAnswer(view_, ParseStoreEra(response.store_era), loop_.Now()) != AnswerEra::kDoubtful) {
+    return true;
   }
-  for (const auto& [name, record] : records_) {
-    if (record.revision > store_revision_) {
-      names.push_back(name);  // a peer has shown a change that is newer than the list
-    }
-  }
-  RemoveAllExcept(names, store_revision_);
-  handlers_.on_batch_applied();
+  metrics_.Count("pimentomoor_store_old_era_total", 1, "source=\"store\"");
+  listed_records_.clear();
+  ScheduleCall(BackoffDelay(consecutive_failures_++, options_.min_backoff, options_.max_backoff, jitter_()));
+  return false;
 }
 
-bool RecordFeed::IsSuperseded(const std::string& name, std::uint64_t revision) const {
-  if (const auto known = records_.find(name); known != records_.end()) {
-    return known->second.revision > revision;
+void RecordFeed::ScheduleEraList() {
+  list_pending_ = true;
+  listed_records_.clear();
+  const Duration since = loop_.Now() - last_era_list_at_;
+  const bool from_peers = source_ == Source::kPeers && loaded();
+  ScheduleCall(from_peers ? options_.peer_era_wait
+                          : std::max(options_.source_choice_wait, options_.min_era_list_interval - since));
+}
+
+void RecordFeed::OnApplied() {
+  handlers_.on_batch_applied();
+  loop_.Cancel(expiry_timer_);
+  expiry_timer_ = 0;
+  if (const TimePoint next = state_.NextExpiry(); next != TimePoint::max()) {
+    expiry_timer_ = loop_.CallAfter(std::max(Duration::zero(), next - loop_.Now()), [this] {
+      expiry_timer_ = 0;
+      if (state_.Expire(loop_.Now())) {
+        LogInfo("records of an earlier store era expired", {{"kind", std::string(ToString(kind_))}});
+      }
+      OnApplied();
+    });
   }
-  return std::any_of(removals_.begin(), removals_.end(), [&](const RemovedRecord& removal) {
-    return removal.name == name && removal.revision > revision;
-  });
 }
 
 bool RecordFeed::IsListTooLong() const {
@@ -163,57 +181,14 @@
   }
 }
 
-void RecordFeed::Put(StoredRecord record) {
-  content_revision_ = std::max(content_revision_, record.revision);
-  if (kind_ != RecordKind::kRouting && record.payload.size() > options_.max_entry_bytes) {
-    metrics_.Count("pimentomoor_store_oversized_records_total");
-    record.payload.clear();
-  }
-  auto& known = records_[record.name];
-  if (known != record) {
-    known = std::move(record);
-    changed_at_ = loop_.Now();
-    handlers_.on_put(known);
-  }
-}
-
-void RecordFeed::Remove(const std::string& name, std::uint64_t revision) {
-  records_.erase(name);
-  // Peers learn of a removal as of any other change: by a newer content revision.
-  content_revision_ = std::max(content_revision_, revision);
-  removals_.push_back({.name = name, .revision = revision});
-  if (removals_.size() > kMaxRememberedRemovals) {
-    removals_complete_after_ = std::max(removals_complete_after_, removals_.front().revision);
-    removals_.pop_front();
-  }
-  changed_at_ = loop_.Now();
-  handlers_.on_delete(name);
-}
-
-void RecordFeed::RemoveAllExcept(const std::vector<std::string>& names, std::uint64_t revision) {
-  if (removals_complete_after_ == 0) {
-    removals_complete_after_ = std::max<std::uint64_t>(revision, 1);  // at the first list
-  }
-  const std::set<std::string> kept(names.begin(), names.end());
-  std::vector<std::string> removed_names;
-  for (const auto& [name, record] : records_) {
-    if (!kept.contains(name)) {
-      removed_names.push_back(name);
-    }
-  }
-  for (const auto& name : removed_names) {
-    Remove(name, revision);
-  }
-}
-
 void RecordFeed::StartWatch() {
   last_watch_at_ = loop_.Now();
   metrics_.Count("pimentomoor_store_calls_total", 1, "call=\"watch\"");
-  const bool probing = store_unavailable() || source_ == Source::kPeers;
+  const bool probing = store_unavailable() || source_ == Source::kPeers || view_.doubtful_since != TimePoint::max();
   const Duration wait = probing                          ? options_.probe_wait
                         : source_ == Source::kShortWatch ? options_.short_watch_wait
                                                          : options_.long_watch_wait;
-  client_.Get(codec_.WatchTarget(kind_, store_revision_, wait), wait + options_.watch_timeout_margin,
+  client_.Get(codec_.WatchTarget(kind_, store_revision(), wait), wait + options_.watch_timeout_margin,
               [this](const std::optional<ResponseMessage>& response) { OnWatchAnswer(response); });
 }
 
@@ -230,23 +205,17 @@
   }
   try {
     const RecordEvents answer = codec_.ParseEvents(response->body);
-    CountUnreadable(answer.unreadable_records);
-    for (const auto& event : answer.events) {
-      // A peer may have delivered this change and later ones since the watch began. A removal may name the revision
-      // of the record that it removes, which says nothing about the time of the removal.
-      const bool known = !event.deleted && event.record.revision <= store_revision_;
-      if (known || IsSuperseded(event.record.name, event.record.revision)) {
-        continue;
-      }
-      if (event.deleted) {
-        Remove(event.record.name, event.record.revision);
-      } else {
-        Put(event.record);
-      }
+    if (!AcceptEra(*response)) {
+      return;
     }
-    store_revision_ = std::max(store_revision_, answer.store_revision);
-    if (!answer.events.empty()) {
-      handlers_.on_batch_applied();
+    if (view_.era > era()) {
+      SetStoreAvailable();
+      ScheduleEraList();
+      return;
+    }
+    CountUnreadable(answer.unreadable_records);
+    if (state_.ApplyEvents(answer, loop_.Now())) {
+      OnApplied();
     }
   } catch (const FormatError& error) {
     metrics_.Count("pimentomoor_store_malformed_total");
@@ -275,81 +244,65 @@
 void RecordFeed::OnCallSucceeded() {
   call_pending_ = false;
   consecutive_failures_ = 0;
-  const bool recovered = store_unavailable();
-  store_unavailable_since_ = TimePoint::max();
   if (source_ != Source::kPeers) {
     const Duration since = loop_.Now() - last_watch_at_;
     ScheduleCall(std::max(Duration::zero(), options_.min_watch_interval - since));
   }
-  if (recovered) {
+  SetStoreAvailable();
+}
+
+void RecordFeed::SetStoreAvailable() {
+  if (store_unavailable()) {
+    store_unavailable_since_ = TimePoint::max();
     LogInfo("store available", {{"kind", std::string(ToString(kind_))}});
     handlers_.on_store_availability_changed();
   }
 }
 
-void RecordFeed::Adopt(const RecordDelta& delta) {
-  if (delta.store_revision <= store_revision_ && delta.content_revision <= content_revision_) {
-    return;
+bool RecordFeed::Adopt(const RecordDelta& delta) {
+  if (loaded() && (delta.era < era() || !IsPlausibleEra(era(), delta.era))) {
+    metrics_.Count("pimentomoor_store_old_era_total", 1, "source=\"peer\"");
+    return false;
+  }
+  const bool enters_era = loaded() && delta.era > era();
+  if (!state_.Adopt(delta, loop_.Now())) {
+    return false;
   }
   metrics_.Count("pimentomoor_store_adopted_total");
-  // A delta can be complete only up to a revision before store_revision_ and still hold newer records, when the
-  // peer's list ended with pages that show later changes. Such a delta doesn't tell which records exist at
-  // store_revision_.
-  const bool delta_is_older = delta.store_revision < store_revision_;
-  for (const auto& record : delta.changed) {
-    const auto known = records_.find(record.name);
-    const std::uint64_t known_revision =
-        std::max(delta_is_older ? store_revision_ : 0, known == records_.end() ? 0 : known->second.revision);
-    if (record.revision > known_revision) {
-      Put(record);
-    }
+  if (!view_.known || delta.era > view_.era) {
+    view_ = {.known = true, .era = delta.era, .stated = delta.stated_era};
   }
-  for (const auto& removal : delta.removed) {
-    const auto known = records_.find(removal.name);
-    if (known != records_.end() &&
-        removal.revision > std::max(delta_is_older ? store_revision_ : 0, known->second.revision)) {
-      Remove(removal.name, removal.revision);
-    }
+  if (era() == view_.era) {
+    list_pending_ = false;
   }
-  if (!delta_is_older && delta.lists_existing_names) {
-    std::vector<std::string> names = delta.existing_names;
-    for (const auto& [name, record] : records_) {
-      if (record.revision > delta.store_revision) {
-        names.push_back(name);  // newer than the delta
-      }
+  if (enters_era && call_pending_) {
+    // The running call names a revision of the previous era, beyond which the store may stay for long.
+    client_.Abort();
+    listed_records_.clear();
+    if (source_ == Source::kPeers && !store_unavailable() && !NeedsList()) {
+      loop_.Cancel(timer_);
+      call_pending_ = false;
+    } else {
+      ScheduleCall(store_unavailable() ? options_.min_backoff : Duration::zero());
     }
-    RemoveAllExcept(names, delta.store_revision);
   }
-  store_revision_ = std::max(store_revision_, delta.store_revision);
-  content_revision_ = std::max(content_revision_, delta.content_revision);
-  list_pending_ = false;
-  handlers_.on_batch_applied();
+  OnApplied();
+  return true;
 }
 
-RecordDelta RecordFeed::MakeDelta(std::uint64_t after) const {
-  RecordDelta delta{.store_revision = store_revision_, .content_revision = content_revision_};
-  delta.lists_existing_names = removals_complete_after_ == 0 || after < removals_complete_after_;
-  for (const auto& [name, record] : records_) {
-    if (delta.lists_existing_names) {
-      delta.existing_names.push_back(name);
-    }
-    if (record.revision > after) {
-      delta.changed.push_back(record);
-    }
-  }
-  if (!delta.lists_existing_names) {
-    std::copy_if(removals_.begin(), removals_.end(), std::back_inserter(delta.removed),
-                 [after](const RemovedRecord& removal) { return removal.revision > after; });
-  }
+RecordDelta RecordFeed::MakeDelta(StorePosition after) const {
+  RecordDelta delta = state_.MakeDelta(after, loop_.Now());
+  delta.stated_era = view_.era == era() ? view_.stated : std::nullopt;
   return delta;
 }
 
-void RecordFeed::Recheck(std::uint64_t content_revision) {
-  if (content_revision <= std::max(content_revision_, rechecked_revision_) || store_unavailable() ||
+void RecordFeed::Recheck(StorePosition position) {
+  if (position <= std::max(content_position(), rechecked_) || store_unavailable() ||
+      (call_pending_ && position.era > era() && view_.era >= position.era) ||  // a list is due
       (call_pending_ && loop_.Now() - last_watch_at_ < options_.min_watch_interval)) {
     return;
   }
-  rechecked_revision_ = content_revision;
+  rechecked_ = position;
   metrics_.Count("pimentomoor_store_rechecks_total");
   client_.Abort();
   ScheduleCall(Duration::zero());
--- a/src/libgateway/record_feed_test.cpp
+++ b/src/libgateway/record_feed_test.cpp
@@ -1,7 +1,7 @@
 // Tests of the record feed and its HTTP client against a fake store on loopback that answers as each test scripts it.
 #include "pimentomoor/record_feed.h"
 
-#include "pimentomoor/tcp_stream.h"
+#include "fake_record_store.h"
 #include "test_loop.h"
 
 // CppUTest's macros come last, because they redefine names that other headers use.
@@ -13,55 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const std::string kEmptyBodyHead = "Content-Length: 0\r\n\r\n";
-
-std::string Ok(const std::string& body) {
-  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-std::string Object(const std::string& name, int revision) {
-  return R"({"meta":{"name":")" + name + R"(","rev":)" + std::to_string(revision) + R"(},"spec":{}})";
-}
-std::string Page(const std::string& items, int revision, bool more = false) {
-  return Ok(R"({"items":[)" + items + R"(],"has-more":)" + (more ? "true" : "false") + R"(,"store-revision":)" +
-            std::to_string(revision) + "}");
-}
-std::string Events(const std::string& events, int revision) {
-  return Ok(R"({"events":[)" + events + R"(],"store-revision":)" + std::to_string(revision) + "}");
-}
-
-constexpr char kCloseMark = '\x01';
-
-// Answers each request with the bytes that `respond` returns for its target. Empty bytes leave the request
-// unanswered, and kCloseMark at their end closes the connection.
-struct FakeStore {
-  struct Connection final : TcpStreamHandler {
-    Connection(FakeStore& owner, int fd) : store(owner), stream(std::make_unique<TcpStream>(owner.loop, fd, *this)) {}
-    void OnData(std::string_view bytes) override {
-      RequestReader reader(store.names, {});
-      if (reader.Read(bytes) != ReadStatus::kComplete) {
-        return;  // the client's requests are small and arrive in one piece
-      }
-      store.targets.push_back(reader.message().target);
-      const std::string answer = store.respond(reader.message().target);
-      stream->Write(answer.substr(0, answer.find(kCloseMark)));
-      if (answer.ends_with(kCloseMark)) {
-        stream.reset();
-      }
-    }
-    void OnEnd(StreamEnd /*end*/) override { stream.reset(); }
-    FakeStore& store;
-    std::unique_ptr<TcpStream> stream;
-  };
-
-  EventLoop& loop;
-  const FieldNames& names;
-  std::function<std::string(const std::string& target)> respond{};
-  std::vector<std::string> targets{};
-  std::vector<std::unique_ptr<Connection>> connections{};
-  TcpListener listener{loop, "127.0.0.1:0",
-                       [this](int fd) { connections.push_back(std::make_unique<Connection>(*this, fd)); }};
-};
-
 }  // namespace
 
 TEST_GROUP(RecordFeed) {
@@ -221,7 +172,7 @@
   feed.Adopt({.store_revision = 10, .content_revision = 4, .existing_names = {"a", "b"}});
   const auto send_delta = [this](RecordFeed& peer) {
     CHECK(feed.content_revision() > peer.content_revision());
-    const RecordDelta delta = feed.MakeDelta(peer.delta_base_revision());
+    const RecordDelta delta = feed.MakeDelta(peer.delta_base());
     peer.Adopt(delta);
     CHECK(peer.content_revision() == feed.content_revision());
     CHECK(peer.records() == feed.records());
--- a/src/testsuite/gateway_searchers.h
+++ b/src/testsuite/gateway_searchers.h
@@ -100,6 +100,9 @@
     }
   }
 
+  /// Writes the entry again, as it is now.
+  void WriteEntryAgain() { Announce(); }
+
   [[nodiscard]] std::string failure_domain() const { return "zone-" + replica_; }
   [[nodiscard]] std::string id() const { return service_ + "-" + replica_; }
   [[nodiscard]] const std::string& service() const { return service_; }
--- a/src/testsuite/gateway_standin_main.cpp
+++ b/src/testsuite/gateway_standin_main.cpp
@@ -2,10 +2,12 @@
 // `load` sends requests to gateway daemons and checks the answers.
 //
 // Admin calls of `serve`:
-//   /store?mode=ok|unavailable|silent|drop-history
-//   /table?version=N&keys=CUSTOMER:KEY,...  publishes the routing table with this version, and customers if any are
-//   named /counters?prefix=PREFIX&zone=ZONE       counters of request ids with the prefix and of searchers in the
-//   zone /outage?zone=ZONE&out=0|1&cold-ms=N     ends or starts an outage; after it, searchers are cold for cold-ms
+//   /store?mode=ok|unavailable|silent|drop-history|era|restore&count=N&ms=N
+//                                           era: answers state the era N; restore: back to the copy of N ms ago
+//   /rewrite                                all searchers write their entries again
+//   /table?version=N&keys=CUSTOMER:KEY,...  publishes the routing table with this version, and customers if named
+//   /counters?prefix=PREFIX&zone=ZONE       counters of request ids with the prefix and of searchers in the zone
+//   /outage?zone=ZONE&out=0|1&cold-ms=N     ends or starts an outage; after it, searchers are cold for cold-ms
 //   /searcher?name=PREFIX&fault=none|pause|fail|reset|lose|extra|gone|drain|slow|endless&count=N&every=N&ms=N
 //                                           sets a fault of the searchers whose id has the prefix
 #include <tclap/CmdLine.h>
@@ -45,7 +47,7 @@
                                       values.begin());
     };
     const auto number_of = [&query](const char* key) { return std::atoi(QueryParameter(query, key).c_str()); };
-    const std::size_t mode = index_of("mode", {"ok", "unavailable", "silent", "drop-history"});
+    const std::size_t mode = index_of("mode", {"ok", "unavailable", "silent", "drop-history", "era", "restore"});
     const std::size_t fault =
         index_of("fault", {"none", "pause", "fail", "reset", "lose", "extra", "gone", "drain", "slow", "endless"});
     OutgoingResponse response;
@@ -53,6 +55,14 @@
       store_.DropHistory();
     } else if (path == "/store" && mode < 3) {
       store_.SetMode(static_cast<GatewayStore::Mode>(mode));
+    } else if (path == "/store" && mode == 4) {
+      store_.SetEra(static_cast<unsigned>(number_of("count")));
+    } else if (path == "/store" && mode == 5) {
+      store_.Restore(std::chrono::milliseconds(number_of("ms")));
+    } else if (path == "/rewrite") {
+      for (const auto& searcher : searchers_) {
+        searcher->WriteEntryAgain();
+      }
     } else if (path == "/table") {
       PublishRoutingTable(QueryParameter(query, "version"), QueryParameter(query, "keys"));
     } else if (path == "/searcher" && fault <= static_cast<std::size_t>(SearcherFault::kEndless)) {
--- a/src/testsuite/gateway_store.h
+++ b/src/testsuite/gateway_store.h
@@ -1,5 +1,5 @@
 // Stand-in for the platform's store on a loopback address: lists the objects of a kind in pages, serves watches, and
-// has faults. One revision counts the changes of all kinds.
+// has faults. One revision counts the changes of all kinds. It can go back to an older copy of itself.
 #pragma once
 
 #include <algorithm>
@@ -25,6 +25,13 @@
 
   /// Creates, replaces or deletes an object, and answers the watches of its kind. `spec` is JSON and isn't checked.
   void ChangeObject(const std::string& kind, const std::string& name, const std::string& spec, bool deleted = false) {
+    const auto& previous = objects_[kind];
+    const auto known = previous.find(name);
+    changes_.push_back({.at = loop_.Now(),
+                        .revision_before = revision_,
+                        .kind = kind,
+                        .name = name,
+                        .object_before = known == previous.end() ? "" : known->second});
     const std::string object = FormatObject(name, ++revision_, spec);
     if (deleted) {
       objects_[kind].erase(name);
@@ -45,6 +52,27 @@
     watches_.clear();
   }
 
+  /// All answers state this era from now on. 0: none, as before the first call.
+  void SetEra(unsigned era) { era_ = era; }
+
+  /// Goes back to the state of `age` ago and begins the next era. Watches that already wait go on as if nothing had
+  /// happened; new ones from a revision that the copy doesn't have get 410.
+  void Restore(Duration age) {
+    for (; !changes_.empty() && changes_.back().at > loop_.Now() - age; changes_.pop_back()) {
+      const Change& change = changes_.back();
+      revision_ = change.revision_before;
+      if (change.object_before.empty()) {
+        objects_[change.kind].erase(change.name);
+      } else {
+        objects_[change.kind][change.name] = change.object_before;
+      }
+    }
+    for (auto& [kind, events] : history_) {
+      events.erase(events.upper_bound(revision_), events.end());
+    }
+    ++era_;
+  }
+
   /// Drops the history: new watches from earlier revisions get 410. Watches that already wait miss all later changes
   /// without an error.
   void DropHistory() {
@@ -59,6 +87,15 @@
   static constexpr std::string_view kObjectsPath = platform_names::kObjectsPath;
   static constexpr std::size_t kPageSize = 50;
 
+  /// A change that Restore() can undo.
+  struct Change {
+    TimePoint at;
+    std::uint64_t revision_before = 0;
+    std::string kind;
+    std::string name;
+    std::string object_before;  // empty: there was none
+  };
+
   struct Watch {
     std::shared_ptr<CallerExchange> exchange;
     std::string kind;
@@ -78,10 +115,17 @@
     }
     // The answer to a watch that missed changes has its old revision, so that the next watch from there gets 410.
     const std::uint64_t revision = watch.misses_changes ? watch.after : revision_;
-    watch.exchange->Respond({.body = FormatEvents(events, revision)});
+    Respond(*watch.exchange, {.body = FormatEvents(events, revision)});
     return true;
   }
 
+  void Respond(CallerExchange& exchange, OutgoingResponse response) const {
+    if (era_ > 0) {
+      response.fields += std::string(platform_names::kStoreEraField) + ": " + std::to_string(era_) + "\r\n";
+    }
+    exchange.Respond(response);
+  }
+
   void Handle(const std::shared_ptr<CallerExchange>& exchange) {
     const RequestMessage& request = exchange->request;
     if (mode_ == Mode::kSilent) {
@@ -89,7 +133,7 @@
       return;
     }
     if (mode_ == Mode::kUnavailable || !request.path().starts_with(kObjectsPath)) {
-      exchange->Respond({.status = mode_ == Mode::kUnavailable ? 503 : 404});
+      Respond(*exchange, {.status = mode_ == Mode::kUnavailable ? 503 : 404});
       return;
     }
     const std::string path(request.path().substr(kObjectsPath.size()));
@@ -99,7 +143,7 @@
       const bool deleted = request.method == "DELETE";
       ChangeObject(kind, path.substr(std::min(kind.size() + 1, path.size())), deleted ? "null" : request.body,
                    deleted);
-      exchange->Respond({});
+      Respond(*exchange, {});
     } else if (const std::string after = QueryParameter(query, "watch"); !after.empty()) {
       StartWatch({.exchange = exchange, .kind = kind, .after = std::stoull(after)},
                  std::chrono::milliseconds(std::atoi(QueryParameter(query, "wait-ms").c_str())));
@@ -110,13 +154,13 @@
       for (std::size_t i = 0; i < kPageSize && next != objects.end(); ++i, ++next) {
         items += (items.empty() ? "" : ",") + next->second;
       }
-      exchange->Respond({.body = FormatPage(items, next != objects.end(), revision_)});
+      Respond(*exchange, {.body = FormatPage(items, next != objects.end(), revision_)});
     }
   }
 
   void StartWatch(const Watch& watch, Duration wait) {
-    if (watch.after < oldest_watch_revision_) {
-      watch.exchange->Respond({.status = 410});
+    if (watch.after < oldest_watch_revision_ || watch.after > revision_) {
+      Respond(*watch.exchange, {.status = 410});
     } else if (!RespondWatch(watch, false)) {
       const std::uint64_t id = next_watch_id_++;
       watches_[id] = watch;
@@ -129,6 +173,8 @@
 
   EventLoop& loop_;
   Mode mode_ = Mode::kNormal;
+  unsigned era_ = 0;
+  std::vector<Change> changes_;  // oldest first
   std::uint64_t revision_ = 1;
   std::uint64_t oldest_watch_revision_ = 1;                              // watches from earlier revisions get 410
   std::map<std::string, std::map<std::string, std::string>> objects_;    // JSON by kind and name
--- a/src/testsuite/gateway_test.sh
+++ b/src/testsuite/gateway_test.sh
@@ -11,7 +11,7 @@
 
 TESTS="test_wrong_settings test_kill test_stop test_store_silent test_history_dropped test_drain test_unsafe_faults
   test_extra_responses test_endless_answers test_searchers_away test_callers_leave test_failure_domain_out_and_back test_stop_while_frozen
-  test_customer_keys test_restart_all"
+  test_customer_keys test_restart_all test_store_restored test_restart_all"
 
 # ARGUMENTS...: starts the load in the background
 start_load() { gateway_load "$@" >"$FOLDER/load" 2>"$FOLDER/load_errors" & LOAD_PID=$!; }
@@ -312,6 +312,49 @@
   check_mostly_whole 200
 }
 
+# Guards against a routing table, a drain and an outage that an older copy of the store undoes, at daemons that run and at
+# one that starts then, against an outage that returns with such a copy, and against changes that are missed afterwards.
+# From here on the store states its era.
+test_store_restored() {
+  local before
+  gateway_admin "store?mode=era&count=1"
+  gateway_admin "table?version=20"
+  check "a table is in force after the store begins to state an era" succeeds_within 3000 all_daemons_answer version-20
+  start_load --seconds 27 --rate 100 --route pages --route order
+  sleep 2
+  gateway_admin "table?version=21"
+  set_searcher_fault pages-0-a drain
+  gateway_admin "outage?zone=zone-b&out=1"
+  check "a table changed just before is in force" succeeds_within 3000 all_daemons_answer version-21
+  gateway_admin "store?mode=restore&ms=2500"
+  sleep 4
+  check "the lost table is in force" all_daemons_answer version-21
+  kill_gateway 3
+  restart_daemon_3
+  check "the lost table is in force at a daemon that starts" succeeds_within 3000 all_daemons_answer version-21
+  before="$(searcher_counter arrivals zone-b)"
+  sleep 3
+  check "no new request arrives at the draining searcher" is_zero "$(searcher_counter arrivals_after_drain)"
+  check "no request arrives in the failure domain" is_zero "$(searcher_counter arrivals_after_outage)"
+  check "the searchers of the failure domain get nothing" same "$(searcher_counter arrivals zone-b)" "$before"
+  gateway_admin "table?version=22"
+  gateway_admin "outage?zone=zone-b&out=1"
+  gateway_admin rewrite
+  check "a table written after it is in force" succeeds_within 3000 all_daemons_answer version-22
+  sleep 1.5
+  set_searcher_fault pages-0-a none
+  gateway_admin "outage?zone=zone-b&out=0"
+  sleep 1
+  before="$(searcher_counter arrivals zone-b)"
+  gateway_admin "store?mode=restore&ms=1200"  # to the copy with the outage
+  sleep 3
+  check "the removed outage is not in force again" at_least "$(searcher_counter arrivals zone-b)" $((before + 100))
+  gateway_admin "outage?zone=zone-b&out=0"
+  gateway_admin rewrite
+  wait_for_load_and_check
+  check "each daemon has seen the restorations" same "$(grep -c 'store restored' "$FOLDER/gateway1.log")" 3
+}
+
 FOLDER="$(mktemp -d)"
 trap 'cluster_stop 2>/dev/null; rm -rf "$FOLDER"' EXIT
 if ! gateway_start "$FOLDER"; then
