--- a/src/testsuite/gateway_store.h
+++ b/src/testsuite/gateway_store.h
@@ -1,10 +1,11 @@
 // Stand-in for the platform's store on a loopback address: lists the objects of a kind in pages, serves watches, and
-// has faults. One revision counts the changes of all kinds.
+// has faults. One revision counts the changes of all kinds. It can go back to an older copy of itself.
 #pragma once
 
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,8 +27,9 @@
 
   /// Creates, replaces or deletes an object, and answers the watches of its kind. `spec` is JSON and isn't checked.
   void ChangeObject(const std::string& kind, const std::string& name, const std::string& spec, bool deleted = false) {
-    ++revision_;
     const auto found = objects_[kind].find(name);
+    RecordChange(kind, name);
+    ++revision_;
     Object object{.spec = spec, .revision = revision_, .created_revision = revision_};
     if (found != objects_[kind].end()) {
       object.status = found->second.status;
@@ -61,6 +63,27 @@
     watches_.clear();
   }
 
+  /// All answers state this era from now on. 0: none, as before the first call.
+  void SetEra(unsigned era) { era_ = era; }
+
+  /// Goes back to the state of `age` ago and begins the next era. Watches that already wait go on as if nothing had
+  /// happened; new ones from a revision that the copy doesn't have get 410.
+  void Restore(Duration age) {
+    for (; !changes_.empty() && changes_.back().at > loop_.Now() - age; changes_.pop_back()) {
+      const Change& change = changes_.back();
+      revision_ = change.revision_before;
+      if (!change.object_before) {
+        objects_[change.kind].erase(change.name);
+      } else {
+        objects_[change.kind][change.name] = *change.object_before;
+      }
+    }
+    for (auto& [kind, events] : history_) {
+      events.erase(events.upper_bound(revision_), events.end());
+    }
+    ++era_;
+  }
+
   /// Drops the history: new watches from earlier revisions get 410. Watches that already wait miss all later changes
   /// without an error.
   void DropHistory() {
@@ -81,6 +104,16 @@
     std::uint64_t revision = 0;
     std::uint64_t created_revision = 0;
   };
+
+  /// A change that Restore() can undo.
+  struct Change {
+    TimePoint at;
+    std::uint64_t revision_before = 0;
+    std::string kind;
+    std::string name;
+    std::optional<Object> object_before;  // empty: there was none
+  };
+
   struct Watch {
     std::shared_ptr<CallerExchange> exchange;
     std::string kind;
@@ -97,23 +130,35 @@
     std::erase_if(watches_, [&](const auto& entry) { return RespondWatch(entry.second, false); });
   }
 
+  // Remembers the state before a change, for Restore().
+  void RecordChange(const std::string& kind, const std::string& name) {
+    const auto& objects = objects_[kind];
+    const auto known = objects.find(name);
+    changes_.push_back({.at = loop_.Now(),
+                        .revision_before = revision_,
+                        .kind = kind,
+                        .name = name,
+                        .object_before = known == objects.end() ? std::nullopt : std::optional(known->second)});
+  }
+
   // Writes the status of an object, on the condition that it has the revision that the call names.
   void WriteStatus(const std::shared_ptr<CallerExchange>& exchange, const std::string& kind,
                    const std::string& name) {
     const auto found = objects_[kind].find(name);
     if (found == objects_[kind].end()) {
-      exchange->Respond({.status = 404});
+      Respond(*exchange, {.status = 404});
       return;
     }
     Object& object = found->second;
     const auto document = ParseJson(exchange->request.body, "status");
     if (RequireUint64(RequireField(document, platform_names::kMeta), platform_names::kRevision) != object.revision) {
-      exchange->Respond({.status = 409, .body = Format(name, object)});
+      Respond(*exchange, {.status = 409, .body = Format(name, object)});
       return;
     }
     const std::string& body = exchange->request.body;
     const std::string key = std::string("\"") + platform_names::kStatus + "\":";
     const std::size_t begin = body.find(key) + key.size();
+    RecordChange(kind, name);
     object.status = body.substr(begin, body.rfind('}') - begin);
     object.revision = ++revision_;
     ++status_writes_;
@@ -123,7 +168,7 @@
       --lost_status_answers_;
       unanswered_.push_back(exchange);
     } else {
-      exchange->Respond({.body = text});
+      Respond(*exchange, {.body = text});
     }
   }
 
@@ -139,10 +184,17 @@
     }
     // The answer to a watch that missed changes has its old revision, so that the next watch from there gets 410.
     const std::uint64_t revision = watch.misses_changes ? watch.after : revision_;
-    watch.exchange->Respond({.body = FormatEvents(events, revision)});
+    Respond(*watch.exchange, {.body = FormatEvents(events, revision)});
     return true;
   }
 
+  void Respond(CallerExchange& exchange, OutgoingResponse response) const {
+    if (era_ > 0) {
+      response.fields += std::string(platform_names::kStoreEraField) + ": " + std::to_string(era_) + "\r\n";
+    }
+    exchange.Respond(response);
+  }
+
   void Handle(const std::shared_ptr<CallerExchange>& exchange) {
     const RequestMessage& request = exchange->request;
     if (mode_ == Mode::kSilent) {
@@ -150,7 +202,7 @@
       return;
     }
     if (mode_ == Mode::kUnavailable || !request.path().starts_with(kObjectsPath)) {
-      exchange->Respond({.status = mode_ == Mode::kUnavailable ? 503 : 404});
+      Respond(*exchange, {.status = mode_ == Mode::kUnavailable ? 503 : 404});
       return;
     }
     const std::string path(request.path().substr(kObjectsPath.size()));
@@ -163,10 +215,10 @@
     } else if (request.method != "GET") {
       const bool deleted = request.method == "DELETE";
       ChangeObject(kind, name, deleted ? "null" : request.body, deleted);
-      exchange->Respond({});
+      Respond(*exchange, {});
     } else if (!name.empty()) {
       const auto found = objects_[kind].find(name);
-      exchange->Respond(found == objects_[kind].end() ? OutgoingResponse{.status = 404}
+      Respond(*exchange, found == objects_[kind].end() ? OutgoingResponse{.status = 404}
                                                       : OutgoingResponse{.body = Format(name, found->second)});
     } else if (const std::string after = QueryParameter(query, "watch"); !after.empty()) {
       StartWatch({.exchange = exchange, .kind = kind, .after = std::stoull(after)},
@@ -178,13 +230,13 @@
       for (std::size_t i = 0; i < kPageSize && next != objects.end(); ++i, ++next) {
         items += (items.empty() ? "" : ",") + Format(next->first, next->second);
       }
-      exchange->Respond({.body = FormatPage(items, next != objects.end(), revision_)});
+      Respond(*exchange, {.body = FormatPage(items, next != objects.end(), revision_)});
     }
   }
 
   void StartWatch(const Watch& watch, Duration wait) {
-    if (watch.after < oldest_watch_revision_) {
-      watch.exchange->Respond({.status = 410});
+    if (watch.after < oldest_watch_revision_ || watch.after > revision_) {
+      Respond(*watch.exchange, {.status = 410});
     } else if (!RespondWatch(watch, false)) {
       const std::uint64_t id = next_watch_id_++;
       watches_[id] = watch;
@@ -197,6 +249,8 @@
 
   EventLoop& loop_;
   Mode mode_ = Mode::kNormal;
+  unsigned era_ = 0;
+  std::vector<Change> changes_;  // oldest first
   std::uint64_t revision_ = 1;
   std::uint64_t oldest_watch_revision_ = 1;                              // watches from earlier revisions get 410
   std::map<std::string, std::map<std::string, Object>> objects_;         // by kind and name
