--- a/src/testsuite/gateway_searchers.h
+++ b/src/testsuite/gateway_searchers.h
@@ -86,11 +86,12 @@
     } else if (server_ == nullptr) {
       Listen();
     }
-    if (leaving_since_ != TimePoint::max()) {
+    if (leaving_ && fault != SearcherFault::kLeave) {
       ++start_unix_ms_;  // a new lifetime
+      leaving_since_ = TimePoint::max();
       Announce();
     }
-    leaving_since_ = fault == SearcherFault::kLeave ? loop_.Now() : TimePoint::max();
+    leaving_ = fault == SearcherFault::kLeave;
     if (fault == SearcherFault::kFull) {
       checks_.SetPause(loop_.Now(), loop_.Now() + time);
     }
@@ -205,8 +206,11 @@
         .status = fault == SearcherFault::kFail ? 500 : 200,
         .fields = FormatField(platform_names::kRequestIdField, request_id) +
                   FormatField(platform_names::kStampField, id() + "/" + request_id) +
-                  (leaving_since_ == TimePoint::max() ? "" : FormatField(platform_names::kLeavingField, "1")),
+                  (leaving_ ? FormatField(platform_names::kLeavingField, "1") : ""),
         .body = is_shard ? MakeShardRecords(request_id, service_) : MakeSingleAnswer(request_id)};
+    if (leaving_) {
+      leaving_since_ = std::min(leaving_since_, loop_.Now());
+    }
     const std::string previous = std::exchange(
         previous_response_, response.fields + "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n" +
                                 response.body + "HTTP/1.1 200 OK\r\n");
@@ -235,7 +239,8 @@
   SearcherFault fault_ = SearcherFault::kNone;
   TimePoint paused_until_{};
   TimePoint draining_since_ = TimePoint::max();
-  TimePoint leaving_since_ = TimePoint::max();
+  TimePoint leaving_since_ = TimePoint::max();  // time of the first answer that said so
+  bool leaving_ = false;
   Duration work_time_ = kWorkTime;
   std::uint64_t start_unix_ms_ = 1;
   unsigned running_ = 0, sequence_ = 0, answer_count_ = 0, faulty_answers_left_ = 0, fault_interval_ = 1,
