--- a/src/testsuite/request_harness.h
+++ b/src/testsuite/request_harness.h
@@ -26,7 +26,7 @@
     stream->Write(request);
   }
   Caller(EventLoop& loop, const std::string& address, const std::string& method, const std::string& request_id,
-         const std::string& body)
+         const std::string& body = "")
       : Caller(loop, address,
                method + " /q HTTP/1.1\r\nHost: h\r\n" + platform_names::kRequestIdField + ": " + request_id +
                    "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body) {}
