--- a/src/testsuite/caller_limits_test.sh
+++ b/src/testsuite/caller_limits_test.sh
@@ -108,7 +108,13 @@
 }
 
 # Guards against state for each key that was looked up, and against lookups that keep ordinary requests waiting.
-test_key_lookups() { run_crowd 100 --kind keys --connections 100 --seconds 4; }
+test_key_lookups() {
+  gateway_admin "table?version=2&keys=alpha:steady-key"
+  check "keys are asked for" cluster_wait 10 request_is_unauthorized
+  run_crowd 100 --kind keys --connections 100 --seconds 4
+  gateway_admin "table?version=3"
+}
+request_is_unauthorized() { [ "$(gateway_get 1 fetch -o /dev/null -w '%{http_code}')" = 401 ]; }
 
 # OFFSET PATH: presses on a listener that isn't meant for callers' requests
 press_on_other_port() {
