Ask for admission in the settings

Cause: deployments that don't ask for it are served as before, and a caller with a popular request was taken for one that returns early. Change: admission is off without the key `admission`; an early return meets a stricter limit instead of a refusal at any queue; a part that is sent again gets at least 1.5 times the usual work.

--- a/src/include/pimentomoor/admission.h
+++ b/src/include/pimentomoor/admission.h
@@ -23,7 +23,7 @@
 namespace pimentomoor {
 
 struct AdmissionSettings {
-  bool naive = false;  // every request is admitted and queues are first in, first out
+  bool naive = true;  // every request is admitted and queues are first in, first out
 
   friend bool operator==(const AdmissionSettings&, const AdmissionSettings&) = default;
 };
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -101,6 +101,7 @@
   return rollouts;
 }
 
+// Without the key, admission is naive.
 AdmissionSettings ReadAdmission(const YamlNode& node, std::string_view source) {
   YamlMapReader reader(node, source, "admission");
   AdmissionSettings admission;
--- a/src/libgateway/gateway_settings_test.cpp
+++ b/src/libgateway/gateway_settings_test.cpp
@@ -59,6 +59,11 @@
   }
   CHECK(ParseGatewaySettings(kRequired + std::string("127.0.0.1:5\ndrain_ms: 5000\n"), "g").drain_time ==
         std::chrono::seconds(5));
+  const auto naive_admission = [](const std::string& more) {
+    return ParseGatewaySettings(kRequired + std::string("127.0.0.1:5\n") + more, "g.yaml").requests.admission.naive;
+  };
+  CHECK(naive_admission(""));  // deployments that don't ask for it are served as before
+  CHECK_FALSE(naive_admission("admission:\n  naive: false\n"));
   CHECK(ErrorOf("", "localhost") == "g.yaml:7: key 'store_address': 'localhost' is not an IP number and a port");
 }
 
--- a/src/libgateway/request_admission_test.cpp
+++ b/src/libgateway/request_admission_test.cpp
@@ -26,6 +26,8 @@
 TEST_GROUP(RequestAdmission) {
   RequestHarness harness;
 
+  void setup() override { harness.runs.settings.admission.naive = false; }
+
   /// Offers twice as many requests as a connection to each of so many slow searchers takes, until their queues have
   /// stood long enough.
   void Overload(int searchers = 1) {
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -232,8 +232,10 @@
   }
   const Duration time_from_receipt =
       std::max(Share(route_.objective, kPartDeadlineShare), route_.objective + kMinPartTime);
+  // With less than the usual time a part would leave the queue at once, and be queued again at once.
+  const Duration min_time = naive_admission() ? kMinPartTime : std::max(kMinPartTime, Share(latency_.usual, 1.5));
   return std::min(final_deadline_,
-                  std::max(caller_->received_at + time_from_receipt, context_.loop.Now() + kMinPartTime));
+                  std::max(caller_->received_at + time_from_receipt, context_.loop.Now() + min_time));
 }
 
 std::shared_ptr<UpstreamLink> RequestRun::ChooseLink(Part& part, Candidates allowed) {
--- a/src/libroute/admission.cpp
+++ b/src/libroute/admission.cpp
@@ -19,6 +19,9 @@
 // requests when their work alone takes as long as the objective.
 constexpr double kLeastWaitShare = 0.25;
 constexpr double kAllowedWaitShare = 0.5;
+// A caller that returns early is admitted only at a queue of this share of the allowed wait, which is shorter than
+// the queues of an overload. It isn't refused at any queue, because it may be another caller with the same request.
+constexpr double kEarlyWaitShare = 0.5;
 constexpr double kMinWeight = 0.25;
 constexpr double kMaxWeight = 16;
 constexpr double kMaxTimeShare = 1.0 / 3;  // of the time left, that callers wait at most before they return
@@ -161,11 +164,11 @@
       by_wait.begin() + static_cast<std::ptrdiff_t>(std::min(request.needed_parts, by_wait.size()) - 1);
   std::nth_element(by_wait.begin(), decisive, by_wait.end(),
                    [](const PartRoom& left, const PartRoom& right) { return left.wait < right.wait; });
-  if (request.early_by && *request.early_by > Duration::zero()) {
+  const Duration allowed = AllowedWait(request);
+  if (request.early_by && decisive->wait > FromSeconds(kEarlyWaitShare * Seconds(allowed))) {
     return {
         .refusal = AdmissionRefusal::kEarly, .room_in = *request.early_by, .room_per_s = decisive->departures_per_s};
   }
-  const Duration allowed = AllowedWait(request);
   if (decisive->wait <= allowed) {
     return {};
   }
--- a/src/testsuite/experiment_gateway.sh
+++ b/src/testsuite/experiment_gateway.sh
@@ -22,7 +22,8 @@
 }
 
 gateway_start_variant() {  # DEPLOYMENT VARIANT SEED: starts the daemons with the variant's settings and warms them up
-  GATEWAY_SETTINGS="naive: $([ "$2" = naive ] && echo true || echo false)"
+  GATEWAY_SETTINGS="naive: $([ "$2" = naive ] && echo true || echo false)
+admission: {naive: $([ "$2" = naive ] && echo true || echo false)}"
   gateway_start "$WORK_FOLDER" && gateway_run "$3" 2 "$EXPERIMENT_RATE" >/dev/null
 }
 
