--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -190,6 +190,8 @@
   [[nodiscard]] bool IsWithinReach(const Part& part, const AdmissionRequest& request) const;
   /// Ends a request that can no longer succeed. Returns whether it did.
   bool EndIfOutOfReach();
+  /// Identifies the caller's request in ToldReturns.
+  [[nodiscard]] std::uint64_t ReturnKey() const;
   /// Refuses a request for which there is no room, and tells its caller when to return.
   void RefuseForRoom(const AdmissionDecision& decision, const char* reason);
   /// Counts the longest time that a part waited for a connection.
--- a/src/libgateway/gateway_usage_test.cpp
+++ b/src/libgateway/gateway_usage_test.cpp
@@ -3,6 +3,8 @@
 
 #include <sstream>
 
+#include "pimentomoor/gateway_peers.h"
+#include "pimentomoor/http.h"
 #include "pimentomoor/member_list.h"
 #include "pimentomoor/platform_codec.h"
 #include "test_loop.h"
@@ -119,6 +121,38 @@
   CHECK(capped.sent.empty() && off.sent.empty());
 }
 
+// Guards against messages that the socket of the heartbeats loses or takes for heartbeats, and against a daemon that
+// doesn't notice whether others answer it.
+TEST(GatewayUsage, MessagesPassThroughTheSocketOfTheHeartbeats) {
+  SystemClock clock;
+  EventLoop loop(clock);
+  Metrics metrics;
+  std::vector<std::string> addresses;
+  std::vector<std::unique_ptr<GatewayPeers>> peers;
+  std::vector<proto::GatewayUsage> received;
+  for (std::uint64_t i = 0; i < 2; ++i) {
+    addresses.push_back(HttpServer(loop, {}).address());  // a free address
+    peers.push_back(std::make_unique<GatewayPeers>(
+        loop, metrics, MemberExchangeOptions{.seeds = {addresses[0]}},
+        [i, address = addresses[i]](proto::GatewayHeartbeat& heartbeat) {
+          heartbeat.mutable_sender()->set_peer_address(address);
+          heartbeat.mutable_sender()->set_caller_address(address);
+          heartbeat.mutable_sender()->set_failure_domain("a");
+          heartbeat.mutable_sender()->set_incarnation(i + 1);
+        },
+        [](const proto::GatewayHeartbeat&) {}));
+    peers[i]->SetUsageHandler([&](const proto::GatewayUsage& message) { received.push_back(message); });
+  }
+  CHECK(loop.RunUntil([&] { return peers[1]->LivePeers().size() == 1; }, std::chrono::seconds(5)));
+  CHECK(loop.RunUntil([&] { return loop.Now() - peers[1]->answered_at() < milliseconds(500); },
+                      std::chrono::seconds(5)));
+  const UsageMessage message{.sender_address = addresses[0], .sender_incarnation = 1, .receiver_incarnation = 2};
+  CHECK(peers[0]->SendUsage(addresses[1], FormatUsageMessage(message)) > 0);
+  CHECK(loop.RunUntil([&] { return received.size() == 1; }, std::chrono::seconds(5)));
+  CHECK(ParseUsageMessage(received[0]) == message);
+  CHECK(metrics.counter("pimentomoor_gateway_heartbeats_refused_total") == 0);
+}
+
 // Guards against a message that changes on its way, that doesn't fit into one packet, or that a daemon takes for a
 // heartbeat; a daemon of a build without this message reads it as a heartbeat without a sender.
 TEST(GatewayUsage, MessagesAreCheckedAndAreNoHeartbeats) {
--- a/src/libgateway/request_admission.cpp
+++ b/src/libgateway/request_admission.cpp
@@ -1,6 +1,7 @@
 // Admission of one request: what its upstreams offer, refusals for lack of room, and the end of a request that can no
 // longer succeed. The decisions are in admission.h.
 #include <algorithm>
+#include <functional>
 #include <map>
 
 #include "pimentomoor/json_text.h"
@@ -73,9 +74,10 @@
   }
   AdmissionState& state = context_.admission;
   const TimePoint now = context_.loop.Now();
-  place_.priority = route_.priority;
+  place_.priority = owner_.priority;
+  place_.customer = owner_.customer == nullptr ? 0 : std::hash<std::string>()(owner_.customer->name);
   AdmissionRequest request = MakeAdmissionRequest();
-  request.early_by = EarlyBy(state.told_returns, request_->fingerprint, now);
+  request.early_by = EarlyBy(state.told_returns, ReturnKey(), now);
   if (place_.customer != 0 && !request.early_by) {
     place_.step = 1 / CountDemand(state.demand, place_.customer, now);
   }
@@ -94,6 +96,8 @@
   return true;
 }
 
+std::uint64_t RequestRun::ReturnKey() const { return request_->fingerprint ^ place_.customer; }
+
 void RequestRun::RefuseForRoom(const AdmissionDecision& decision, const char* reason) {
   AdmissionState& state = context_.admission;
   const TimePoint now = context_.loop.Now();
@@ -109,7 +113,7 @@
     retry_after = decision.room_in;  // as it was told before
   } else {
     retry_after = BookReturn(state.returns[route_.name], decision, final_deadline_ - now, now);
-    RememberReturn(state.told_returns, request_->fingerprint, now + retry_after, now);
+    RememberReturn(state.told_returns, ReturnKey(), now + retry_after, now);
   }
   Refuse(retry_after);
 }
--- a/src/libgateway/request_admission_test.cpp
+++ b/src/libgateway/request_admission_test.cpp
@@ -129,6 +129,31 @@
   CHECK_EQUAL(504, caller.status());
 }
 
+// Guards against a queue in which the order of arrival decides and not priority and the turns of customers.
+TEST(RequestAdmission, QueueGoesByPriorityAndCustomer) {
+  harness.SetRoute(SingleRoute(false), kOneConnection);
+  harness.AddSearcher("s", SlowScript());
+  const auto queue = [this](unsigned priority, std::uint64_t customer) {
+    auto exchange = std::make_shared<UpstreamExchange>();
+    exchange->request = std::make_shared<UpstreamRequest>(
+        UpstreamRequest{.head = "GET / HTTP/1.1\r\n", .request_id = kCallerRequestId});
+    exchange->deadline = harness.loop.Now() + seconds(2);
+    exchange->place = {.priority = priority, .customer = customer};
+    harness.upstreams.services().at("s").links.front()->Send(exchange);
+    return exchange;
+  };
+  const auto running = queue(1, 1);
+  CHECK(harness.loop.RunUntil([&] { return running->sent; }, seconds(1)));
+  const auto first = queue(1, 1);
+  const auto second = queue(1, 1);
+  const auto other = queue(1, 2);
+  const auto urgent = queue(0, 1);
+  CHECK(harness.loop.RunUntil([&] { return second->done; }, seconds(1)));
+  CHECK(urgent->sent_at < first->sent_at);
+  CHECK(first->sent_at < other->sent_at);
+  CHECK(other->sent_at < second->sent_at);
+}
+
 // Guards against hedges that take the place of requests that wait.
 TEST(RequestAdmission, NoHedgesWhileRequestsWait) {
   const auto extra_sends = [this](bool naive) {
