--- a/src/libroute/upstream_score_test.cpp
+++ b/src/libroute/upstream_score_test.cpp
@@ -50,6 +50,23 @@
   LONGS_EQUAL(0, ChooseUpstreamNaive(std::vector<UpstreamCandidate>(2), kExpected, 0));
 }
 
+// Guards against answers that cross failure domains although an upstream of the own domain has a free slot, and against
+// requests that queue at an upstream of the own domain, or go to a slow one, while another is free elsewhere.
+TEST(UpstreamScore, OwnDomainIsPreferredWhileItHasAFreeSlot) {
+  const auto prefers_own = [](const UpstreamCandidate& own) {
+    const std::vector<UpstreamCandidate> both = {own, {.slots = own.slots, .same_domain = false}};
+    return ChooseUpstream(both, kExpected, 0) == 0 && ChooseUpstream(both, kExpected, 1) == 0;
+  };
+  for (const std::size_t slots : {1, 2, 3, 6}) {
+    for (std::size_t unanswered = 0; unanswered <= slots; ++unanswered) {
+      CHECK_EQUAL(unanswered < slots, prefers_own({.unanswered = unanswered, .slots = slots}));
+    }
+  }
+  CHECK_FALSE(prefers_own({.slowness = 2, .slots = 3}));
+  CHECK_FALSE(prefers_own({.unanswered = 1, .oldest_unanswered = 2 * kExpected, .slots = 3}));
+  CHECK_FALSE(prefers_own({.failure_rate = 0.3, .slots = 3}));
+}
+
 // Guards against an upstream that has recovered and never gets requests again. Without new samples, its signals must
 // decay until one more unanswered request at a healthy upstream outweighs them.
 TEST(UpstreamScore, RecoveredUpstreamIsProbedAgain) {
