Format the choice between upstreams

Cause: the comment and the test of the last change were not as the formatter has them. Change: line breaks only. Measured: clang-format finds nothing.

--- a/src/libroute/upstream_score.cpp
+++ b/src/libroute/upstream_score.cpp
@@ -15,7 +15,8 @@
 constexpr double kLastResortCost = 100.0;
 constexpr double kNoConnectionCost = 0.25;  // opening a connection takes several milliseconds
 // The request and the answer cross failure domains, which costs time and bytes. Less than the cost of a full set of
-// slots, so that an upstream of the own domain is preferred while it has a free slot, but not when it is slow or paused.
+// slots, so that an upstream of the own domain is preferred while it has a free slot, but not when it is slow or
+// paused.
 constexpr double kOtherDomainCost = 0.9;
 // High enough that upstreams outside the subset are used only when those inside are much slower or unusable.
 constexpr double kOutsideSubsetCost = 3.0;
--- a/src/libroute/upstream_score_test.cpp
+++ b/src/libroute/upstream_score_test.cpp
@@ -50,8 +50,8 @@
   LONGS_EQUAL(0, ChooseUpstreamNaive(std::vector<UpstreamCandidate>(2), kExpected, 0));
 }
 
-// Guards against answers that cross failure domains although an upstream of the own domain has a free slot, and against
-// requests that queue at an upstream of the own domain, or go to a slow one, while another is free elsewhere.
+// Guards against answers that cross failure domains although an upstream of the own domain has a free slot, and
+// against requests that queue at an upstream of the own domain, or go to a slow one, while another is free elsewhere.
 TEST(UpstreamScore, OwnDomainIsPreferredWhileItHasAFreeSlot) {
   const auto prefers_own = [](const UpstreamCandidate& own) {
     const std::vector<UpstreamCandidate> both = {own, {.slots = own.slots, .same_domain = false}};
