--- a/src/libnet/persistent_http_client_test.cpp
+++ b/src/libnet/persistent_http_client_test.cpp
@@ -39,8 +39,9 @@
 TEST(PersistentHttpClient, OnlyStatusesOfAnswersAreTaken) {
   const std::string rest = " X\r\nContent-Length: 0\r\n\r\n";
   for (const char* status : {"000", "0", "99", "600", "999", "-20", "+20", "2a0", "2000", "", "101"}) {
-    CHECK_EQUAL_TEXT(0, StatusOf("HTTP/1.1 " + std::string(status) + rest), status);
-    CHECK_EQUAL_TEXT(0, StatusOf("HTTP/1.1 " + std::string(status) + rest + "HTTP/1.1 200" + rest), status);
+    const std::string response = std::string("HTTP/1.1 ").append(status).append(rest);
+    CHECK_EQUAL_TEXT(0, StatusOf(response), status);
+    CHECK_EQUAL_TEXT(0, StatusOf(std::string(response).append("HTTP/1.1 200").append(rest)), status);
   }
   CHECK_EQUAL(410, StatusOf("HTTP/1.1 410" + rest));
 }
