--- a/src/libroute/routing_table_test.cpp
+++ b/src/libroute/routing_table_test.cpp
@@ -60,7 +60,7 @@
       RC_ASSERT(name(table.FindCustomer(key)) == name(FindCustomerNaive(spec, key)));
     }
   }));
-  const std::string long_key(8 * 1024, 'k');
+  const std::string long_key(8'192, 'k');
   const RoutingTable table({.customers = {{.name = "a", .keys = {DigestKey("1"), DigestKey(long_key)}},
                                           {.name = "b", .keys = {DigestKey("1"), DigestKey("2")}}}});
   CHECK(table.FindCustomer("1")->name == "a" && table.FindCustomer(long_key)->name == "a");
