Mend findings of the linter in two stand-ins

Cause: clang-tidy names a short integer in the crowd of callers and a vector that the simulation of caps copies. Change: the type of the field that is set, and a reference.

--- a/src/testsuite/caller_crowd.h
+++ b/src/testsuite/caller_crowd.h
@@ -174,14 +174,14 @@
       }
       const bool has_unsent = member.sent < member.unsent.size();
       polled.push_back({.fd = member.fd,
-                        .events = static_cast<short>(POLLRDHUP | (has_unsent ? POLLOUT : 0) |
-                                                     (options_.kind == "keys" ? POLLIN : 0)),
+                        .events = static_cast<decltype(pollfd::events)>(POLLRDHUP | (has_unsent ? POLLOUT : 0) |
+                                                                        (options_.kind == "keys" ? POLLIN : 0)),
                         .revents = 0});
       open.push_back(&member);
     }
     poll(polled.data(), polled.size(), static_cast<int>(kPollInterval / std::chrono::milliseconds(1)));
     for (std::size_t i = 0; i < polled.size(); ++i) {
-      const short events = polled[i].revents;
+      const auto events = polled[i].revents;
       if ((events & (POLLERR | POLLHUP | POLLRDHUP)) != 0) {
         ++closed_by_daemon_;
         Close(*open[i]);
--- a/src/testsuite/usage_simulation.cpp
+++ b/src/testsuite/usage_simulation.cpp
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-UsageSimulation::UsageSimulation(UsageSimulationOptions options, std::vector<SimulatedCustomer> customers)
+UsageSimulation::UsageSimulation(UsageSimulationOptions options, const std::vector<SimulatedCustomer>& customers)
     : options_(options), random_(options.seed), daemons_(options.daemons), changed_at_(kStart) {
   for (const auto& spec : customers) {
     customers_.push_back({.spec = spec,
--- a/src/testsuite/usage_simulation.h
+++ b/src/testsuite/usage_simulation.h
@@ -43,7 +43,7 @@
 
 class UsageSimulation : private Timeline {
  public:
-  UsageSimulation(UsageSimulationOptions options, std::vector<SimulatedCustomer> customers);
+  UsageSimulation(UsageSimulationOptions options, const std::vector<SimulatedCustomer>& customers);
 
   void Start(std::size_t daemon);
   void Kill(std::size_t daemon);
