Take requests out of an upstream's queue in one place

Cause: ending requests that are too late, those of a held upstream and released ones each partitioned, copied and erased the queue of UpstreamLink; parts that were built side by side had written it again. Change: TakeUnless() does it for all three; who finishes them, and when, stays as it was.

--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -23,6 +23,15 @@
 
 const QueuePlace& PlaceOf(const UpstreamExchangePtr& exchange) { return exchange->place; }
 
+// Takes the exchanges of which `keep` is false out of the queue, and returns them in their order.
+template <typename Keep>
+std::vector<UpstreamExchangePtr> TakeUnless(std::deque<UpstreamExchangePtr>& waiting, Keep keep) {
+  const auto first_taken = std::stable_partition(waiting.begin(), waiting.end(), keep);
+  std::vector<UpstreamExchangePtr> taken(first_taken, waiting.end());
+  waiting.erase(first_taken, waiting.end());
+  return taken;
+}
+
 std::shared_ptr<const UpstreamRequest> WithoutBody(const UpstreamRequest& request) {
   return std::make_shared<UpstreamRequest>(UpstreamRequest{.request_id = request.request_id,
                                                            .fingerprint = request.fingerprint,
@@ -131,13 +140,11 @@
   if (std::all_of(waiting_.begin(), waiting_.end(), hopeful)) {
     return;
   }
-  const auto first_removed = std::stable_partition(waiting_.begin(), waiting_.end(), hopeful);
-  for (auto removed = first_removed; removed != waiting_.end(); ++removed) {
+  for (const auto& removed : TakeUnless(waiting_, hopeful)) {
     // Finished in a later turn of the event loop, so that Send() never calls a handler.
     context_.loop.Post(
-        [self = shared_from_this(), exchange = *removed] { self->Finish(exchange, ExchangeOutcome::kNotSent, {}); });
+        [self = shared_from_this(), removed] { self->Finish(removed, ExchangeOutcome::kNotSent, {}); });
   }
-  waiting_.erase(first_removed, waiting_.end());
 }
 
 void UpstreamLink::RecordQueueChange(unsigned departures) {
@@ -265,15 +272,14 @@
   if (admitted == UpstreamAdmission::kAll || waiting_.empty()) {
     return;
   }
-  const auto first_released = std::stable_partition(waiting_.begin(), waiting_.end(), [&](const auto& exchange) {
+  const auto may_stay = [&](const UpstreamExchangePtr& exchange) {
     return admitted == UpstreamAdmission::kLastResort && exchange->last_resort;
-  });
-  for (auto released = first_released; released != waiting_.end(); ++released) {
+  };
+  for (const auto& released : TakeUnless(waiting_, may_stay)) {
     context_.metrics.Count("pimentomoor_upstream_held_requests_moved_total");
     context_.loop.Post(
-        [self = shared_from_this(), exchange = *released] { self->Finish(exchange, ExchangeOutcome::kNotSent, {}); });
+        [self = shared_from_this(), released] { self->Finish(released, ExchangeOutcome::kNotSent, {}); });
   }
-  waiting_.erase(first_released, waiting_.end());
 }
 
 void UpstreamLink::ReleaseInadmissible() {
@@ -285,11 +291,9 @@
 }
 
 void UpstreamLink::ReleaseWaiting(const std::function<bool(const UpstreamExchange&)>& predicate) {
-  const auto first_released = std::stable_partition(waiting_.begin(), waiting_.end(),
-                                                    [&](const auto& exchange) { return !predicate(*exchange); });
   // Taken out of the queue first, because a handler may send its request to this upstream again.
-  const std::vector<UpstreamExchangePtr> released(first_released, waiting_.end());
-  waiting_.erase(first_released, waiting_.end());
+  const std::vector<UpstreamExchangePtr> released =
+      TakeUnless(waiting_, [&](const UpstreamExchangePtr& exchange) { return !predicate(*exchange); });
   RecordQueueChange();
   for (const auto& exchange : released) {
     Finish(exchange, ExchangeOutcome::kNotSent, {});
