review: stand-ins that start together take different ports

Cause: cases that started in the same moment could choose overlapping ranges. Change: the range follows the pid.

--- a/review/standin-2.h
+++ b/review/standin-2.h
@@ -747,8 +747,11 @@
 
 /// Finds a range of ports that are free on the addresses 127.0.0.1 to 127.0.0.`addresses`.
 inline int FindFreePorts(int count, int addresses) {
-  for (int attempt = 0; attempt < 200; ++attempt) {
-    const int base = 20'000 + (static_cast<int>(getpid()) * 37 + attempt * 101) % 12'000;
+  // Programs that start together have pids that differ, and so begin at different ranges.
+  constexpr int kRanges = 120;
+  constexpr int kRangePorts = 100;
+  for (int attempt = 0; attempt < kRanges && count <= kRangePorts; ++attempt) {
+    const int base = 20'000 + (static_cast<int>(getpid()) + attempt * 7) % kRanges * kRangePorts;
     bool free = true;
     for (int i = 1; i <= addresses && free; ++i) {
       for (int port = base; port < base + count && free; ++port) {
