--- a/review/cases-2.cpp
+++ b/review/cases-2.cpp
@@ -2,7 +2,6 @@
 // disruption out. Writes FOLDER/record.txt. Exit codes: 0 the rule held, 1 it was broken, 2 the case couldn't run.
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 #include <random>
 
 #include "standin-2.h"
@@ -106,7 +105,8 @@
                                                                  .base_port = base_port_,
                                                                  .store = {"127.0.0.1", base_port_ + 10},
                                                                  .seeds = all,
-                                                                 .folder = work_folder_}));
+                                                                 .folder = work_folder_,
+                                                                 .usage_caps = usage_caps}));
     daemons.back()->Start();
   }
   [[nodiscard]] bool StartDaemons(int count) {
@@ -135,6 +135,7 @@
  public:
   Record record;
   bool with_trouble = true;
+  bool usage_caps = false;  // of the daemons that are added from now on
   Store store;
   std::vector<std::unique_ptr<Searcher>> searchers;
   std::vector<std::unique_ptr<Gateway>> daemons;
@@ -157,6 +158,7 @@
     double per_s = 10;
     int limit_ms = 5'000;
     std::string body = "";
+    std::string fields = "";  // further header fields, each with its line end
   };
   using Done = std::function<void(const std::string& id, const Answer& answer)>;
 
@@ -173,7 +175,7 @@
           path.back() = 'q';
           path += id;
         }
-        done(id, client.Call(options.method, path, kHost, id, options.limit_ms, "", options.body));
+        done(id, client.Call(options.method, path, kHost, id, options.limit_ms, options.fields, options.body));
         // Spread around the mean interval, so that callers don't run in step.
         next = std::max(next + spread(random) * 1'000 / options.per_s, NowMs() - 200);
         SleepMs(next - NowMs());
@@ -194,12 +196,12 @@
   std::vector<std::thread> threads_;
 };
 
-/// Largest number of times within one second, and the first of them.
-std::pair<std::size_t, double> MostInOneSecond(std::vector<double> times) {
+/// Largest number of times within a window, and the first of them.
+std::pair<std::size_t, double> MostInWindow(std::vector<double> times, double window_ms) {
   std::sort(times.begin(), times.end());
   std::pair<std::size_t, double> most{0, 0};
   for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
-    while (times[last] - times[first] >= 1'000) {
+    while (times[last] - times[first] >= window_ms) {
       ++first;
     }
     if (last - first + 1 > most.first) {
@@ -374,7 +376,7 @@
     const std::lock_guard lock(mutex_);
     bool broken = false;
     for (const auto& [lifetime, times] : arrivals_) {
-      const auto [most, from] = MostInOneSecond(times);
+      const auto [most, from] = MostInWindow(times, 1'000);
       const bool exceeds = static_cast<double>(most) > bound;
       record.Add("cold searcher " + lifetime + ": " + std::to_string(times.size()) + " requests, at most " +
                  std::to_string(most) + " in one second, from " + std::to_string(std::lround(from)) +
@@ -746,6 +748,79 @@
   return served == 0 ? CannotRun(world, "no request was served") : broken ? 1 : 0;
 }
 
+// Four daemons; the seeds of two of them name only these two, and so do those of the other two. One tenant has a cap.
+int RunTwoCells(World& world) {
+  constexpr double kRatePerS = 20;
+  constexpr double kBurst = 20;
+  constexpr double kWindowMs = 5'000;
+  constexpr double kBound = (kRatePerS * kWindowMs / 1'000 + kBurst) * 1.1 + 20;
+  if (!world.StartStore()) {
+    return CannotRun(world, "no free ports");
+  }
+  std::string manifest =
+      FormatManifest(3, {{.name = "r-fetch", .prefix = "/fetch/", .service = "partes"}}, {{.name = "partes"}});
+  manifest.insert(manifest.size() - 1,
+                  ",\"tenants\":[{\"name\":\"ralo620\",\"api-keys\":[\"2dm2buc7takhi73vr5y2\"],\"priority\":1,"
+                  "\"rate-per-s\":20,\"burst\":20}]");
+  world.store.Put("config", "main", manifest);
+  std::mutex mutex;
+  std::vector<double> arrivals;
+  const auto work = [&](Searcher&, Arrival& arrival) {
+    {
+      const std::lock_guard lock(mutex);
+      arrivals.push_back(arrival.at_ms);
+    }
+    SleepMs(10);
+  };
+  for (int i = 0; i < 4; ++i) {
+    world.searchers.push_back(
+        std::make_unique<Searcher>(world.store,
+                                   Searcher::Options{.service = "partes",
+                                                     .address = world.NextSearcherAddress(),
+                                                     .zone = kZones[static_cast<std::size_t>(i) % kZones.size()]},
+                                   work));
+    if (!world.searchers.back()->Start("i-" + std::to_string(i), false)) {
+      return CannotRun(world, "a searcher doesn't start");
+    }
+  }
+  world.usage_caps = true;
+  for (int i = 1; i <= 4; ++i) {
+    const int first = world.with_trouble && i > 2 ? 3 : 1;
+    world.AddDaemon({world.SeedAddress(first), world.SeedAddress(first + 1), world.SeedAddress(9)});
+  }
+  if (!std::all_of(world.daemons.begin(), world.daemons.end(),
+                   [](const auto& daemon) { return daemon->WaitUntilReady(10'000); })) {
+    return CannotRun(world, "the daemons aren't ready");
+  }
+  SleepMs(15'000);
+  std::atomic<int> refused{0};
+  Traffic traffic;
+  for (const auto& daemon : world.daemons) {
+    for (int i = 0; i < 3; ++i) {
+      traffic.Add({.daemon = daemon->callers(),
+                   .path = "/fetch/#",
+                   .per_s = 30,
+                   .limit_ms = 1'000,
+                   .fields = "Api-Key: 2dm2buc7takhi73vr5y2\r\n"},
+                  [&](const std::string&, const Answer& answer) { refused += answer.status == 429 ? 1 : 0; });
+    }
+  }
+  SleepMs(20'000);
+  traffic.Stop();
+  const bool ended = world.AnyDaemonEnded();
+  world.daemons.clear();
+  if (ended || arrivals.empty()) {
+    return CannotRun(world, ended ? "a daemon ended" : "no request was served");
+  }
+  const std::lock_guard lock(mutex);
+  const auto [most, from] = MostInWindow(arrivals, kWindowMs);
+  world.record.Add("requests of the tenant that ran: " + std::to_string(arrivals.size()) + ", at most " +
+                   std::to_string(most) + " in 5 s, from " + std::to_string(std::lround(from)) +
+                   " ms on; the rule allows " + std::to_string(std::lround(kBound)) + "; refused over the cap " +
+                   std::to_string(refused));
+  return static_cast<double>(most) > kBound ? 1 : 0;
+}
+
 }  // namespace
 }  // namespace review
 
@@ -766,6 +841,9 @@
   if (name == "popular-query") {
     return RunPopularQuery(world);
   }
+  if (name == "two-cells") {
+    return RunTwoCells(world);
+  }
   if (name == "stale-seeds") {
     return RunStaleSeeds(world);
   }
--- a/review/standin-2.h
+++ b/review/standin-2.h
@@ -610,6 +610,7 @@
     Address store;
     std::vector<std::string> seeds;
     std::string folder;
+    bool usage_caps = false;  // the deployment has caps of tenants
   };
 
   explicit Gateway(Options options) : options_(std::move(options)) {}
@@ -629,6 +630,9 @@
         << "\"\ndrain_timeout_s: 6\ndrain_ms: 3000\nentry_ttl_s: 2\ncpu_share: 0.25\ncores: 1\nmachine:\n"
            "  memory_mb: 260\n  max_fds: 4100\nretry:\n  ratio: 0.2\n  allowance: 52\n  window_s: 10\ncold:\n"
            "  rate_factor: 1.5\n  slack: 5\npace:\n  enabled: false\n";
+    if (options_.usage_caps) {
+      out << "usage_caps:\n  window_s: 5\n  excess: 0.1\n  slack: 20\n";
+    }
     out.close();
     const std::string log = options_.folder + "/gateway" + std::to_string(options_.number) + ".log";
     pid_ = fork();
