--- a/review/cases-2.cpp
+++ b/review/cases-2.cpp
@@ -225,12 +225,12 @@
   constexpr double kRepeatMs = 1'500;
   constexpr double kLengthMs = 40'000;
   const bool early = std::getenv("EARLY") != nullptr;  // the crash comes before the first byte of the answer
-  struct Crash {
+  struct Attempt {
     double at_ms = 0;
     std::string request_id;
   };
   std::mutex mutex;
-  std::vector<Crash> arrivals;  // of the crashing request, at any searcher
+  std::vector<Attempt> arrivals;  // of the crashing request, at any searcher
   std::atomic<bool> ending{false};
   std::vector<std::thread> restarts;
   int next_id = 1;
