--- a/src/include/pimentomoor/crash_reports.h
+++ b/src/include/pimentomoor/crash_reports.h
@@ -5,10 +5,14 @@
 // daemon withdraws all evidence known there. A request with enough evidence and no success is refused. It stays
 // refused while it still comes, and is forgotten when no daemon has seen it for some time.
 //
+// Crashes that are close together in time are one incident, whoever saw them and however many there were: upstreams
+// that are killed together say little about a request that all of them ran. Only incidents are counted and reported.
+//
 // What the daemons share are counters of each reporter that only grow, so that reports can be merged in any order,
 // any number of times, and through other daemons.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -23,21 +27,21 @@
 struct CrashReportEntry {
   std::uint64_t fingerprint = 0;  // identifies the request, see FingerprintRequest()
   std::uint64_t reporter = 0;     // incarnation of the daemon that saw the crashes
-  std::uint32_t crashes = 0;      // upstream crashes that the reporter saw while the request was running
+  std::uint32_t crashes = 0;      // incidents that the reporter saw while the request was running
   // The reporter found that the request must be refused, until its evidence up to this number is withdrawn; 0: never.
   std::uint32_t refusal = 0;
   std::uint32_t withdrawn = 0;  // evidence of the reporter up to this number is withdrawn
   std::uint32_t sightings = 0;  // times at which the reporter said that the refused request still comes
   Duration age{};               // time since any daemon saw the request
+  Duration incident_age{};      // time since the last of `crashes`
 
   friend bool operator==(const CrashReportEntry&, const CrashReportEntry&) = default;
 };
 
 /// When a request is refused, and for how long evidence is kept.
 struct CrashReportSettings {
-  std::uint32_t refusal_threshold = 3;  // counted crashes, over all daemons, from which on the request is refused
-  // Crashes within this time count as one: upstreams that are killed together, or one upstream that ran several
-  // attempts of the same query, say little about the query.
+  std::uint32_t refusal_threshold = 3;  // incidents, over all daemons, from which on the request is refused
+  // Crashes within this time of the first one are the same incident.
   Duration merge_interval = std::chrono::milliseconds(500);
   // Times since the request was last seen for which evidence is kept. A refused request that comes again within an
   // hour is refused at once. Withdrawn evidence only has to outlive the reports of it that are under way.
@@ -59,8 +63,8 @@
   explicit CrashReports(std::uint64_t reporter, CrashReportSettings settings = {})
       : reporter_(reporter), settings_(settings) {}
 
-  /// Records that an upstream crashed while the request was running there.
-  void RecordCrash(std::uint64_t fingerprint, TimePoint now);
+  /// Records that an upstream crashed at that time while the request was running there.
+  void RecordCrash(std::uint64_t fingerprint, TimePoint crashed_at);
   /// Records that the request ran to its end. Returns whether that withdraws evidence, which others have to know.
   bool RecordSuccess(std::uint64_t fingerprint, TimePoint now);
   /// Records that a refused request came again. Returns whether others have to know.
@@ -80,23 +84,30 @@
     std::uint32_t refusal = 0;
     std::uint32_t withdrawn = 0;
     std::uint32_t sightings = 0;
+    TimePoint last_incident{};  // time of the last of `crashes`
+
+    [[nodiscard]] std::uint32_t crashes_left() const { return crashes - std::min(crashes, withdrawn); }
   };
   struct Evidence {
     std::map<std::uint64_t, Counters> by_reporter;
-    std::uint32_t counted_crashes = 0;  // crashes since the last success, merged by merge_interval
-    TimePoint last_counted{};
+    // Known times of incidents since the last success, ordered and at least merge_interval apart; at most
+    // refusal_threshold.
+    std::vector<TimePoint> incidents;
     TimePoint last_seen{};
     TimePoint last_sighting{};  // last time at which this daemon reported a sighting
 
-    [[nodiscard]] std::uint32_t crashes_left() const;  // crashes that are not withdrawn
+    [[nodiscard]] std::size_t crashes_left() const;    // sum over the reporters of what is not withdrawn
+    [[nodiscard]] std::size_t CountIncidents() const;  // since the last success
     [[nodiscard]] bool refused() const;
     [[nodiscard]] bool withdrawn() const;
   };
 
   [[nodiscard]] Duration Retention(const Evidence& evidence) const;
   [[nodiscard]] const Evidence* Find(std::uint64_t fingerprint, TimePoint now) const;
-  /// Counts crashes, and reports the refusal when the threshold is reached.
-  void CountCrashes(Evidence& evidence, std::uint32_t crashes, TimePoint now);
+  /// Adds an incident. Returns false when it is a known one.
+  bool AddIncident(Evidence& evidence, TimePoint at) const;
+  /// Reports the refusal when the threshold is reached.
+  void RefuseAtThreshold(Evidence& evidence);
   void Expire(TimePoint now);
   /// Drops evidence while there are more entries than max_entries, but not that on `fingerprint`.
   void MakeRoom(std::uint64_t fingerprint);
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -119,8 +119,8 @@
   const FieldNames& names;
   BufferBudget& buffer_budget;  // bound on the unfinished answers of all upstreams
   std::string failure_domain;   // failure domain of this daemon
-  // Called when an upstream crashed while it ran the request.
-  std::function<void(const UpstreamRequest&)> on_crash = [](const UpstreamRequest&) {};
+  // Called when it is known that an upstream crashed while it ran the request, with the time of the crash.
+  std::function<void(const UpstreamRequest&, TimePoint)> on_crash = [](const UpstreamRequest&, TimePoint) {};
   // Called with each notice that an answer of the upstream holds; must pass the result to SetHold().
   std::function<void(UpstreamLink&, const UpstreamNotice&)> on_notice = [](UpstreamLink&, const UpstreamNotice&) {};
   UpstreamHoldSettings hold_settings = {};
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -29,7 +29,8 @@
 constexpr Duration kSeedAnswerWait = std::chrono::milliseconds(300);
 constexpr Duration kFollowerSeedAnswerWait = std::chrono::milliseconds(1'500);
 constexpr Duration kLoadInterval = std::chrono::seconds(1);
-constexpr std::size_t kMaxSmallBodyBytes = 4'096;  // body limit of all listeners except that for callers
+constexpr Duration kMaxCrashAge = std::chrono::minutes(30);  // in a crash report; bounds the size of the report
+constexpr std::size_t kMaxSmallBodyBytes = 4'096;            // body limit of all listeners except that for callers
 
 }  // namespace
 
@@ -65,8 +66,8 @@
              settings_.usage_caps, [this](const std::string& address, proto::GatewayUsage message) {
                return peers_->SendUsage(address, std::move(message));
              }) {
-  upstreams_.context().on_crash = [this](const UpstreamRequest& request) {
-    crashes_.RecordCrash(request.fingerprint, loop_.Now());
+  upstreams_.context().on_crash = [this](const UpstreamRequest& request, TimePoint crashed_at) {
+    crashes_.RecordCrash(request.fingerprint, crashed_at);
     OnCrashReportsChanged();
   };
   request_context_.on_crash_reports_changed = [this] { OnCrashReportsChanged(); };
@@ -459,6 +460,8 @@
     report->set_withdrawn(entry.withdrawn);
     report->set_sightings(entry.sightings);
     report->set_age_s(static_cast<std::uint32_t>(entry.age / std::chrono::seconds(1)));
+    report->set_crash_age_ms(static_cast<std::uint32_t>(
+        std::clamp(entry.incident_age, Duration::zero(), kMaxCrashAge) / std::chrono::milliseconds(1)));
   }
   ListLeaving(*heartbeat.mutable_leaving());
   if (rollouts_ != nullptr) {
@@ -469,14 +472,16 @@
 
 void Gateway::OnHeartbeat(const proto::GatewayHeartbeat& heartbeat) {
   for (const auto& report : heartbeat.crashes()) {
-    crashes_.Merge({.fingerprint = report.fingerprint(),
-                    .reporter = report.reporter(),
-                    .crashes = report.crashes(),
-                    .refusal = report.refusal(),
-                    .withdrawn = report.withdrawn(),
-                    .sightings = report.sightings(),
-                    .age = std::chrono::seconds(report.age_s())},
-                   loop_.Now());
+    crashes_.Merge(
+        {.fingerprint = report.fingerprint(),
+         .reporter = report.reporter(),
+         .crashes = report.crashes(),
+         .refusal = report.refusal(),
+         .withdrawn = report.withdrawn(),
+         .sightings = report.sightings(),
+         .age = std::chrono::seconds(report.age_s()),
+         .incident_age = std::min<Duration>(std::chrono::milliseconds(report.crash_age_ms()), kMaxCrashAge)},
+        loop_.Now());
   }
   if (heartbeat.crashes_size() > 0) {
     LogRefusedRequests();
--- a/src/libgateway/member_exchange.cpp
+++ b/src/libgateway/member_exchange.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxCrashReportBytes = 50;    // encoded in a heartbeat
+constexpr std::size_t kMaxCrashReportBytes = 54;    // encoded in a heartbeat
 constexpr std::size_t kMaxLeavingReportBytes = 18;  // encoded in a heartbeat
 constexpr std::size_t kIpUdpHeaderBytes = 28;
 constexpr std::size_t kRolloutReportOverheadBytes = 4;  // tag and length of a report in a heartbeat
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -229,7 +229,7 @@
     if (now - lost_at < kCrashDetectionWindow) {
       context_.metrics.Count("pimentomoor_upstream_crashes_total");
       StartPace(PaceReason::kCrash);
-      context_.on_crash(*request);
+      context_.on_crash(*request, lost_at);
     }
   }
 }
--- a/src/libroute/crash_reports.cpp
+++ b/src/libroute/crash_reports.cpp
@@ -11,14 +11,23 @@
                      [](const auto& reported) { return reported.second.refusal > reported.second.withdrawn; });
 }
 
-std::uint32_t CrashReports::Evidence::crashes_left() const {
-  std::uint32_t crashes = 0;
+std::size_t CrashReports::Evidence::crashes_left() const {
+  std::size_t crashes = 0;
   for (const auto& [reporter, counters] : by_reporter) {
-    crashes += counters.crashes - std::min(counters.crashes, counters.withdrawn);
+    crashes += counters.crashes_left();
   }
   return crashes;
 }
 
+std::size_t CrashReports::Evidence::CountIncidents() const {
+  // Incidents of different reporters may be the same, so their numbers are not added up.
+  std::size_t count = incidents.size();
+  for (const auto& [reporter, counters] : by_reporter) {
+    count = std::max<std::size_t>(count, counters.crashes_left());
+  }
+  return count;
+}
+
 bool CrashReports::Evidence::withdrawn() const {
   return std::all_of(by_reporter.begin(), by_reporter.end(), [](const auto& reported) {
     return std::max(reported.second.crashes, reported.second.refusal) <= reported.second.withdrawn;
@@ -58,25 +67,34 @@
   }
 }
 
-void CrashReports::CountCrashes(Evidence& evidence, std::uint32_t crashes, TimePoint now) {
-  if (evidence.counted_crashes > 0 && now - evidence.last_counted < settings_.merge_interval) {
-    evidence.counted_crashes = std::max(evidence.counted_crashes, crashes);
-  } else {
-    evidence.counted_crashes += crashes;
-    evidence.last_counted = now;
+bool CrashReports::AddIncident(Evidence& evidence, TimePoint at) const {
+  const bool known = std::any_of(evidence.incidents.begin(), evidence.incidents.end(), [&](TimePoint incident) {
+    return std::chrono::abs(at - incident) < settings_.merge_interval;
+  });
+  if (known || evidence.incidents.size() >= settings_.refusal_threshold) {
+    return !known;
   }
-  if (evidence.counted_crashes >= settings_.refusal_threshold && !evidence.refused()) {
+  evidence.incidents.insert(std::upper_bound(evidence.incidents.begin(), evidence.incidents.end(), at), at);
+  return true;
+}
+
+void CrashReports::RefuseAtThreshold(Evidence& evidence) {
+  if (evidence.CountIncidents() >= settings_.refusal_threshold && !evidence.refused()) {
     Counters& own = evidence.by_reporter[reporter_];
     own.refusal = std::max(own.crashes, own.withdrawn + 1);
   }
 }
 
-void CrashReports::RecordCrash(std::uint64_t fingerprint, TimePoint now) {
-  Expire(now);
+void CrashReports::RecordCrash(std::uint64_t fingerprint, TimePoint crashed_at) {
+  Expire(crashed_at);
   Evidence& evidence = by_fingerprint_[fingerprint];
-  ++evidence.by_reporter[reporter_].crashes;
-  evidence.last_seen = now;
-  CountCrashes(evidence, 1, now);
+  evidence.last_seen = std::max(evidence.last_seen, crashed_at);
+  if (AddIncident(evidence, crashed_at)) {
+    Counters& own = evidence.by_reporter[reporter_];
+    ++own.crashes;
+    own.last_incident = crashed_at;
+    RefuseAtThreshold(evidence);
+  }
   MakeRoom(fingerprint);
 }
 
@@ -89,7 +107,7 @@
   for (auto& [reporter, counters] : evidence.by_reporter) {
     counters.withdrawn = std::max({counters.withdrawn, counters.crashes, counters.refusal});
   }
-  evidence.counted_crashes = 0;
+  evidence.incidents.clear();
   evidence.last_seen = now;
   return true;
 }
@@ -117,16 +135,23 @@
   const std::uint32_t new_crashes = entry.crashes - std::min(entry.crashes, known_counters.crashes);
   const bool news = new_crashes > 0 || entry.refusal > known_counters.refusal ||
                     entry.withdrawn > known_counters.withdrawn || entry.sightings > known_counters.sightings;
-  known_counters = {.crashes = std::max(known_counters.crashes, entry.crashes),
-                    .refusal = std::max(known_counters.refusal, entry.refusal),
-                    .withdrawn = std::max(known_counters.withdrawn, entry.withdrawn),
-                    .sightings = std::max(known_counters.sightings, entry.sightings)};
+  known_counters = {
+      .crashes = std::max(known_counters.crashes, entry.crashes),
+      .refusal = std::max(known_counters.refusal, entry.refusal),
+      .withdrawn = std::max(known_counters.withdrawn, entry.withdrawn),
+      .sightings = std::max(known_counters.sightings, entry.sightings),
+      .last_incident = new_crashes > 0 ? now - entry.incident_age : known_counters.last_incident,
+  };
   if (news || !known) {
     evidence.last_seen = std::max(evidence.last_seen, now - entry.age);
   }
-  evidence.counted_crashes = std::min(evidence.counted_crashes, evidence.crashes_left());
+  if (const std::size_t left = evidence.crashes_left(); evidence.incidents.size() > left) {
+    evidence.incidents.erase(evidence.incidents.begin(),
+                             evidence.incidents.end() - static_cast<std::ptrdiff_t>(left));
+  }
   if (new_crashes > 0 && entry.crashes > known_counters.withdrawn) {
-    CountCrashes(evidence, std::min(new_crashes, entry.crashes - known_counters.withdrawn), now);
+    AddIncident(evidence, known_counters.last_incident);
+    RefuseAtThreshold(evidence);
   }
   Expire(now);  // the report may be older than its retention
   MakeRoom(entry.fingerprint);
@@ -167,7 +192,8 @@
                          .refusal = counters.refusal,
                          .withdrawn = counters.withdrawn,
                          .sightings = counters.sightings,
-                         .age = age});
+                         .age = age,
+                         .incident_age = now - counters.last_incident});
     }
   }
   return entries;
--- a/src/libroute/crash_reports_test.cpp
+++ b/src/libroute/crash_reports_test.cpp
@@ -169,6 +169,77 @@
   }));
 }
 
+// Guards against a sound request that is refused for good after one outage, because a daemon reports the crashes of
+// all its copies at once and others count each of them.
+TEST(CrashReports, CrashesOfOneOutageInOneReportCountOnce) {
+  CrashReports first(1);
+  CrashReports second(2);
+  TimePoint now{std::chrono::hours(24)};
+  for (int outage = 1; outage <= 3; ++outage) {
+    now += seconds(10);
+    for (int copy = 0; copy < 5; ++copy) {
+      first.RecordCrash(kSound, now + milliseconds(copy));
+    }
+    for (const auto& entry : first.Entries(now + milliseconds(5))) {
+      second.Merge(entry, now + milliseconds(5));
+    }
+    CHECK_EQUAL(outage == 3, first.IsRefused(kSound, now + milliseconds(5)));
+    CHECK_EQUAL(outage == 3, second.IsRefused(kSound, now + milliseconds(5)));
+  }
+}
+
+// Guards against counting one outage several times, because daemons learn of it at different times: their connections
+// are refused later, or their reports are lost, repeated or relayed.
+TEST(CrashReports, OutagesCountOnceHoweverTheyAreReported) {
+  CHECK(CheckProperty(100, "refusals after two outages, and after a third one", [] {
+    std::mt19937 random(*rc::gen::inRange<std::uint32_t>(1, 1'000'000));
+    const auto daemon_count = *rc::gen::inRange<std::size_t>(2, 9);
+    const auto loss_percent = *rc::gen::inRange<std::uint32_t>(0, 91);
+    std::vector<CrashReports> daemons;
+    for (std::size_t i = 0; i < daemon_count; ++i) {
+      daemons.emplace_back(i + 1);
+    }
+    TimePoint now{std::chrono::hours(24)};
+    const auto refusing = [&] {
+      return std::count_if(daemons.begin(), daemons.end(),
+                           [&](const auto& daemon) { return daemon.IsRefused(kSound, now); });
+    };
+    for (int outage = 1; outage <= 3; ++outage) {
+      struct Detection {
+        TimePoint at;
+        TimePoint crashed_at;
+        std::size_t daemon;
+      };
+      std::vector<Detection> detections;
+      const std::uint32_t copies = 1 + random() % 20;
+      for (std::uint32_t i = 0; i < copies; ++i) {
+        const TimePoint crashed_at = now + milliseconds(random() % 100);
+        detections.push_back({crashed_at + milliseconds(random() % 800), crashed_at, random() % daemon_count});
+      }
+      std::ranges::sort(detections, {}, &Detection::at);
+      const TimePoint end = now + milliseconds(1'500 + random() % 20'000);
+      std::size_t detected = 0;
+      while (now < end) {
+        now += kStep;
+        for (; detected < detections.size() && detections[detected].at <= now; ++detected) {
+          daemons[detections[detected].daemon].RecordCrash(kSound, detections[detected].crashed_at);
+        }
+        for (const auto& from : daemons) {
+          for (auto& to : daemons) {
+            if (&from != &to && random() % 100 >= loss_percent) {
+              for (const auto& entry : from.Entries(now)) {
+                to.Merge(entry, now);
+              }
+            }
+          }
+        }
+        RC_ASSERT(outage == 3 || refusing() == 0);
+      }
+    }
+    RC_ASSERT(refusing() > 0);
+  }));
+}
+
 // Guards against evidence that never ends, because daemons that forget it learn it again from those that forget
 // later.
 TEST(CrashReports, EvidenceEndsWhenTheRequestIsNoLongerSeen) {
