--- a/src/include/pimentomoor/crash_reports.h
+++ b/src/include/pimentomoor/crash_reports.h
@@ -72,6 +72,8 @@
   /// Merges a report of another daemon, whether it comes from that daemon or was relayed by a third one.
   void Merge(const CrashReportEntry& entry, TimePoint now);
 
+  /// Whether there is evidence against the request that no success has withdrawn.
+  [[nodiscard]] bool IsSuspected(std::uint64_t fingerprint, TimePoint now) const;
   /// Whether the request must be refused.
   [[nodiscard]] bool IsRefused(std::uint64_t fingerprint, TimePoint now) const;
   [[nodiscard]] std::size_t RefusedCount(TimePoint now) const;
--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -225,6 +225,7 @@
   std::vector<Part> parts_;
   std::size_t done_parts_ = 0;
   std::size_t lost_exchanges_ = 0;         // exchanges whose connection ended without an answer
+  std::size_t truncated_exchanges_ = 0;    // exchanges whose connection ended in the middle of the answer
   std::vector<std::string> part_records_;  // the greatest records of each answered part
   TimePoint objective_deadline_{};         // an incomplete answer with enough parts is sent then
   TimePoint final_deadline_{};             // the request is answered then in any case
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -61,7 +61,8 @@
   kAnswered,   // a whole response arrived that belongs to the request
   kNotSent,    // nothing was sent, so the upstream can't have run the request
   kLost,       // sent, then the connection ended or went silent: the request may have run
-  kMalformed,  // sent, but the response is incomplete or invalid HTTP: the request may have run
+  kTruncated,  // sent, then the connection ended in the middle of the response: the request may have run
+  kMalformed,  // sent, but the response is invalid HTTP or too large: the request may have run
 };
 
 class UpstreamExchange;
@@ -254,8 +255,8 @@
   /// Brings the history of the queue up to date after a change of waiting_.
   void RecordQueueChange(unsigned departures = 0);
   void RemoveConnection(UpstreamConnection* connection);
-  /// Remembers a lost request, which may have crashed the upstream. Opens a connection if there is none, because a
-  /// refused connection confirms the crash.
+  /// Remembers a request whose connection ended before its whole response, which may have crashed the upstream. Opens
+  /// a connection if there is none, because a refused connection confirms the crash.
   void SuspectCrash(const UpstreamExchangePtr& exchange);
   void OnConnectFailed(UpstreamConnection* connection);
   /// Reports the requests that were lost within kCrashDetectionWindow before a connection was refused.
@@ -269,7 +270,7 @@
   ServedTurns served_turns_;  // empty while waiting_ is
   QueueHistory queue_history_;
   std::vector<std::pair<TimePoint, std::shared_ptr<const UpstreamRequest>>>
-      crash_suspects_;                           // recently lost requests, with the time of the loss
+      crash_suspects_;                           // requests whose connection ended lately, with the time of its end
   std::vector<UpstreamExchangePtr> unanswered_;  // sent and not done, oldest first
   TimePoint cold_until_{};
   TimePoint assumed_cold_until_{};
--- a/src/libgateway/request_faults_test.cpp
+++ b/src/libgateway/request_faults_test.cpp
@@ -141,6 +141,52 @@
   }
 }
 
+// Guards against a request that crashes one upstream after another, because a crash in the middle of the answer is
+// taken for a malformed answer and is evidence against no request.
+TEST(RequestFaults, RequestThatCrashesUpstreamsInTheMiddleOfTheirAnswersIsRefused) {
+  harness.upstreams.context().on_crash = [&](const UpstreamRequest& request, TimePoint crashed_at) {
+    harness.crashes.RecordCrash(request.fingerprint, crashed_at);
+  };
+  const std::string whole = IdentifiedResponse(kCallerRequestId, std::string(6'000, 'x'));
+  const SearcherScript crashing{.response = whole.substr(0, whole.size() - 5'000),
+                                .after_response = SearcherScript::AfterResponse::kCrash};
+  harness.SetRoute(SingleRoute(true));
+  harness.Wait(kRetryBudgetOpensAfter);
+  for (unsigned crashed = 1; crashed <= 3; ++crashed) {
+    harness.AddSearcher("s", crashing);
+    auto& caller = harness.Call();
+    CHECK(harness.WaitForAnswer(caller));
+    CHECK_EQUAL(502, caller.status());
+    CHECK_EQUAL(crashed, harness.arrivals());
+    harness.Wait(2 * CrashReportSettings().merge_interval);
+  }
+  auto& sound = harness.AddSearcher("s", {.response = whole});
+  auto& refused = harness.Call();
+  CHECK(harness.WaitForAnswer(refused));
+  CHECK_EQUAL(503, refused.status());
+  CHECK_EQUAL(0U, sound.arrivals());
+}
+
+// Guards against refusing requests because a faulty upstream truncates its answers and goes on running.
+TEST(RequestFaults, TruncatedAnswersOfARunningUpstreamAreNoCrashes) {
+  harness.upstreams.context().on_crash = [&](const UpstreamRequest& request, TimePoint crashed_at) {
+    harness.crashes.RecordCrash(request.fingerprint, crashed_at);
+  };
+  const std::string whole = IdentifiedResponse(kCallerRequestId, "whole");
+  harness.SetRoute(SingleRoute(true));
+  auto& faulty = harness.AddSearcher(
+      "s", {.response = whole.substr(0, whole.size() - 1), .after_response = SearcherScript::AfterResponse::kReset});
+  harness.Wait(kRetryBudgetOpensAfter);
+  for (unsigned i = 1; i <= 4; ++i) {
+    auto& caller = harness.Call();
+    CHECK(harness.WaitForAnswer(caller));
+    CHECK_EQUAL(502, caller.status());
+    CHECK_EQUAL(i, faulty.arrivals());
+    harness.Wait(CrashReportSettings().merge_interval);
+  }
+  CHECK_EQUAL(0U, harness.crashes.Entries(harness.loop.Now()).size());
+}
+
 // Guards against passing on a response that was cut within its head as a success with an empty or short body.
 TEST(RequestFaults, ResponseCutInItsHeadIsNoAnswer) {
   const std::string response = IdentifiedResponse(kCallerRequestId, "body");
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -23,7 +23,9 @@
 // Deadline of a part as a share of the objective. Answers after the objective hardly count, so upstreams should stop
 // work on the part soon after it.
 constexpr double kPartDeadlineShare = 1.5;
-constexpr std::size_t kMaxLostExchanges = 6;  // lost exchanges of a request after which no part is sent again
+// Lost exchanges of a request after which no part is sent again. Truncated answers count as well once a crash is
+// known: a faulty upstream that truncates its answers is no reason to leave parts out.
+constexpr std::size_t kMaxLostExchanges = 6;
 // Quantile of the latencies of a route that a request is expected to take at most when the daemon stops.
 constexpr double kStopLatencyQuantile = 0.99;
 // Least time that a part gets, and least time between the objective and its deadline.
@@ -298,8 +300,10 @@
   if (part.sent_count == 0) {
     return true;
   }
-  if (lost_exchanges_ >= kMaxLostExchanges ||
-      context_.crashes.IsRefused(request_->fingerprint, context_.loop.Now())) {
+  const TimePoint now = context_.loop.Now();
+  if (lost_exchanges_ >= kMaxLostExchanges || context_.crashes.IsRefused(request_->fingerprint, now) ||
+      (lost_exchanges_ + truncated_exchanges_ >= kMaxLostExchanges &&
+       context_.crashes.IsSuspected(request_->fingerprint, now))) {
     return false;
   }
   return !HasUsedAttempts(part) && context_.upstreams.MayRetry(*part.service);
@@ -446,14 +450,16 @@
     return;
   }
   context_.metrics.Count("pimentomoor_run_part_failures_total", 1,
-                         outcome == ExchangeOutcome::kAnswered ? "reason=\"status\""
-                         : outcome == ExchangeOutcome::kLost   ? "reason=\"lost\""
-                                                               : "reason=\"malformed\"");
+                         outcome == ExchangeOutcome::kAnswered    ? "reason=\"status\""
+                         : outcome == ExchangeOutcome::kLost      ? "reason=\"lost\""
+                         : outcome == ExchangeOutcome::kTruncated ? "reason=\"truncated\""
+                                                                  : "reason=\"malformed\"");
   if (outcome == ExchangeOutcome::kAnswered && !response.has_content_encoding && !response.stamp.empty()) {
     last_failure_response_ = std::move(response);
   }
   // A request that crashes upstreams must not be sent to ever more upstreams of its shards.
   lost_exchanges_ += outcome == ExchangeOutcome::kLost ? 1 : 0;
+  truncated_exchanges_ += outcome == ExchangeOutcome::kTruncated ? 1 : 0;
   OnPartFailed(index);
 }
 
--- a/src/libgateway/request_trace.cpp
+++ b/src/libgateway/request_trace.cpp
@@ -17,7 +17,7 @@
 
 // Names in traces, indexed by SendReason and by ExchangeOutcome.
 constexpr std::array<const char*, 3> kSendReasonNames = {"first", "retry", "hedge"};
-constexpr std::array<const char*, 4> kOutcomeNames = {"answered", "not-sent", "lost", "malformed"};
+constexpr std::array<const char*, 5> kOutcomeNames = {"answered", "not-sent", "lost", "truncated", "malformed"};
 
 bool HasEnded(const UpstreamExchange& exchange) { return exchange.ended_at != TimePoint{}; }
 
--- a/src/libgateway/upstream_connection.cpp
+++ b/src/libgateway/upstream_connection.cpp
@@ -189,7 +189,7 @@
       return;
     }
   }
-  FinishRunning(reader_->started() ? ExchangeOutcome::kMalformed : ExchangeOutcome::kLost, {}, false);
+  FinishRunning(reader_->started() ? ExchangeOutcome::kTruncated : ExchangeOutcome::kLost, {}, false);
 }
 
 void UpstreamConnection::OnResponseRevoked() {
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(600);
-// A request counts as crashing its upstream when it is lost and a connection is refused within this time. A crashed
-// upstream refuses connections at once, and it is back after some seconds.
+// A request counts as crashing its upstream when its connection ends and another one is refused within this time. A
+// crashed upstream refuses connections at once, and it is back after some seconds.
 constexpr Duration kCrashDetectionWindow = std::chrono::milliseconds(800);
 // Time after an exchange's deadline at which its connection is closed if there is still no answer.
 constexpr Duration kOverdueTolerance = std::chrono::milliseconds(300);
@@ -317,7 +317,7 @@
     RecordFailure(signals, now);
   }
   RecordPace(*exchange, outcome, response);
-  if (outcome == ExchangeOutcome::kLost) {
+  if (outcome == ExchangeOutcome::kLost || outcome == ExchangeOutcome::kTruncated) {
     SuspectCrash(exchange);
   }
   if (const auto observer = std::move(exchange->observer); observer != nullptr) {
--- a/src/libroute/crash_reports.cpp
+++ b/src/libroute/crash_reports.cpp
@@ -163,6 +163,11 @@
                                                                                                      : &found->second;
 }
 
+bool CrashReports::IsSuspected(std::uint64_t fingerprint, TimePoint now) const {
+  const Evidence* evidence = Find(fingerprint, now);
+  return evidence != nullptr && !evidence->withdrawn();
+}
+
 bool CrashReports::IsRefused(std::uint64_t fingerprint, TimePoint now) const {
   if (by_fingerprint_.empty()) {
     return false;
--- a/src/testsuite/scripted_searcher.h
+++ b/src/testsuite/scripted_searcher.h
@@ -27,7 +27,8 @@
 /// What a searcher does for each request. Requests must arrive in one piece, as all received bytes count as one
 /// request.
 struct SearcherScript {
-  enum class AfterResponse { kKeepOpen, kClose, kReset };
+  // kCrash ends all connections with a reset, and later ones are refused.
+  enum class AfterResponse { kKeepOpen, kClose, kReset, kCrash };
   std::string response;  // all bytes of the response; empty sends none
   AfterResponse after_response = AfterResponse::kKeepOpen;
   // Responses to the first requests, in order of arrival; `response` answers the later ones.
@@ -71,10 +72,12 @@
 
 class ScriptedSearcher {
  public:
-  ScriptedSearcher(EventLoop& loop, SearcherScript script)
-      : loop_(loop), script_(std::move(script)), listener_(loop, "127.0.0.1:0", [this](int fd) { Accept(fd); }) {}
+  ScriptedSearcher(EventLoop& loop, SearcherScript script) : loop_(loop), script_(std::move(script)) {
+    listener_.emplace(loop, "127.0.0.1:0", [this](int fd) { Accept(fd); });
+    address_ = listener_->address();
+  }
 
-  [[nodiscard]] std::string address() const { return listener_.address(); }
+  [[nodiscard]] const std::string& address() const { return address_; }
   /// Number of requests received.
   [[nodiscard]] unsigned arrivals() const { return arrivals_; }
   /// Number of connections accepted.
@@ -95,7 +98,8 @@
   };
 
   void Accept(int fd) {
-    if (script_.after_response == SearcherScript::AfterResponse::kReset) {
+    if (script_.after_response == SearcherScript::AfterResponse::kReset ||
+        script_.after_response == SearcherScript::AfterResponse::kCrash) {
       const linger reset_at_close{.l_onoff = 1, .l_linger = 0};
       setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_at_close, sizeof(reset_at_close));
     }
@@ -127,7 +131,19 @@
     }
     if (script_.after_response != SearcherScript::AfterResponse::kKeepOpen) {
       // The delay lets the gateway read the response before the end of the connection.
-      loop_.CallAfter(sent_after + std::chrono::milliseconds(20), [&connection] { connection.stream.reset(); });
+      loop_.CallAfter(sent_after + std::chrono::milliseconds(20), [this, &connection] {
+        if (script_.after_response == SearcherScript::AfterResponse::kCrash) {
+          Crash();
+        }
+        connection.stream.reset();
+      });
+    }
+  }
+
+  void Crash() {
+    listener_.reset();
+    for (Connection& connection : connections_) {
+      connection.stream.reset();
     }
   }
 
@@ -135,7 +151,8 @@
   const SearcherScript script_;
   unsigned arrivals_ = 0, cancelled_requests_ = 0;
   std::list<Connection> connections_;
-  TcpListener listener_;
+  std::optional<TcpListener> listener_;  // nothing after a crash
+  std::string address_;
 };
 
 }  // namespace pimentomoor
