--- a/src/fuzz/store_answer.cpp
+++ b/src/fuzz/store_answer.cpp
@@ -25,6 +25,9 @@
       static_cast<void>(table.Find(route.host, route.prefix));
     }
   });
+  if (const auto entry = codec.ParseRegistryEntry(record)) {
+    Check(!entry->peer_address.empty() && entry->name == record.name, "the registry entry is the record's");
+  }
   if (const auto entry = codec.ParseUpstream(record)) {
     Check(entry->id == record.name && entry->cold_remaining >= Duration::zero(), "the searcher is the record's");
   }
--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -25,6 +25,7 @@
 
 namespace pimentomoor {
 
+class GatewayRegistry;
 class GatewayRollouts;
 struct RolloutFleet;
 
@@ -113,6 +114,13 @@
   void ChooseFeedSource();
   [[nodiscard]] bool IsStoreAvailable() const;
   void BuildRollouts();
+  /// Whether the settings name other daemons.
+  [[nodiscard]] bool has_seeds() const;
+  /// Whether this daemon and those that it counts are the whole fleet.
+  [[nodiscard]] bool IsFleetKnown() const;
+  /// Number of daemons that share budgets; 0 while it is unknown.
+  [[nodiscard]] std::size_t CountSharingDaemons();
+  void FillSelf(proto::GatewayMember& self) const;
   [[nodiscard]] RolloutFleet DescribeRolloutFleet();
   void FetchFromPeer(const std::string& address, RecordFeed& feed);
   void Tick();
@@ -174,6 +182,7 @@
   std::unique_ptr<CallerServer> directory_server_;
   std::unique_ptr<CallerServer> peer_server_;
   std::unique_ptr<GatewayPeers> peers_;
+  std::unique_ptr<GatewayRegistry> registry_;
   struct DirectoryCacheKey {
     std::uint64_t live_peers_version = 0;
     std::uint32_t load_parts_per_s = 0;
--- a/src/include/pimentomoor/gateway_peers.h
+++ b/src/include/pimentomoor/gateway_peers.h
@@ -42,6 +42,9 @@
   /// Replaces the seeds, which can change while the daemon runs.
   void SetSeeds(std::vector<std::string> seeds) { exchange_.SetSeeds(std::move(seeds)); }
 
+  /// Sets further daemons that are contacted like seeds.
+  void SetContacts(std::vector<std::string> contacts) { exchange_.SetContacts(std::move(contacts)); }
+
   /// The other daemons that are alive, ordered by peer address. Valid until the next call.
   [[nodiscard]] const std::vector<proto::GatewayMember>& LivePeers() const {
     return exchange_.members().LivePeers(loop_.Now());
--- a/src/include/pimentomoor/member_exchange.h
+++ b/src/include/pimentomoor/member_exchange.h
@@ -56,6 +56,8 @@
   MemberExchange(proto::GatewayHeartbeat self_heartbeat, MemberExchangeOptions options, TimePoint now);
 
   void SetSeeds(std::vector<std::string> seeds) { options_.seeds = std::move(seeds); }
+  /// Sets further daemons that are contacted like seeds, beginning with the next Tick.
+  void SetContacts(std::vector<std::string> contacts);
   /// Sets this daemon's state, in the form that the constructor takes. Call before any of the following functions
   /// when the state may have changed.
   void UpdateSelf(proto::GatewayHeartbeat self_heartbeat, TimePoint now);
@@ -106,6 +108,7 @@
   TimePoint load_announced_at_{};
   Duration load_announce_interval_{};
   std::uint32_t announced_state_number_ = 0;  // state number of this daemon at the last Announce
+  std::vector<std::string> contacts_;         // peer addresses
   TimePoint seeds_contacted_at_{};
   std::string last_departed_contacted_;  // peer address after which the next seed round continues
   // Index of the first report in the next datagram; rotates, so that all are sent.
--- a/src/include/pimentomoor/persistent_http_client.h
+++ b/src/include/pimentomoor/persistent_http_client.h
@@ -26,9 +26,12 @@
   /// Starts a GET of `target`, a path with an optional query string. `done` is called from the event loop. A call
   /// that is still running is aborted first, as by Abort().
   void Get(const std::string& target, Duration timeout, Callback done);
-  /// The same for a PUT of `body`, which is JSON. It is sent at most once, unlike a GET, which is sent again when the
-  /// server has closed the idle connection.
+  /// The same for a PUT or POST of `body`, which is JSON. It is sent at most once, unlike a GET, which is sent again
+  /// when the server has closed the idle connection.
   void Put(const std::string& target, std::string body, Duration timeout, Callback done);
+  void Post(const std::string& target, std::string body, Duration timeout, Callback done);
+  /// The same for a DELETE, which has no body.
+  void Delete(const std::string& target, Duration timeout, Callback done);
   /// Ends the running call without calling its `done`, and closes the connection.
   void Abort();
 
@@ -37,7 +40,7 @@
  private:
   void OnData(std::string_view bytes) override;
   void OnEnd(StreamEnd end) override;
-  void Start(std::string target, std::optional<std::string> put_body, Duration timeout, Callback done);
+  void Start(std::string_view method, std::string target, std::string body, Duration timeout, Callback done);
   void SendRequest();
   void Finish(std::optional<ResponseMessage> response);
   void CloseStream();
@@ -47,9 +50,10 @@
   const FieldNames& names_;
   std::string address_;
   std::unique_ptr<TcpStream> stream_;
-  std::string target_;                   // of the latest call
-  std::optional<std::string> put_body_;  // set exactly when that call is a PUT
-  Callback done_;                        // set exactly while a call is running
+  std::string_view method_;  // of the latest call, like the next two
+  std::string target_;
+  std::string body_;
+  Callback done_;  // set exactly while a call is running
   std::optional<ResponseReader> reader_;
   std::string unparsed_;               // received bytes that reader_ has not consumed
   std::optional<BufferedBytes> held_;  // of the response that is being read; set when there is a budget
--- a/src/include/pimentomoor/platform_codec.h
+++ b/src/include/pimentomoor/platform_codec.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "pimentomoor/clock.h"
+#include "pimentomoor/fleet_registry.h"
 #include "pimentomoor/http1_message.h"
 #include "pimentomoor/rollout.h"
 #include "pimentomoor/routing_table.h"
@@ -105,6 +106,15 @@
   [[nodiscard]] virtual std::string RolloutStatusTarget(std::string_view name) const = 0;
   /// Body of a call that sets the status of an order, on the condition that it still has the revision of `record`.
   [[nodiscard]] virtual std::string FormatRolloutStatus(const RolloutRecord& record, RolloutState state) const = 0;
+  /// Request targets of the registry of daemons: to add an entry, to read the entries, and to remove an entry that
+  /// has not changed since it was read. With `allow_stale`, the answer may lack the changes of the last seconds.
+  [[nodiscard]] virtual std::string RegistryTarget() const = 0;
+  [[nodiscard]] virtual std::string RegistryListTarget(bool allow_stale) const = 0;
+  [[nodiscard]] virtual std::string RegistryEntryTarget(const RegistryEntry& entry) const = 0;
+  /// Body of a call that adds the entry of the daemon with this peer address.
+  [[nodiscard]] virtual std::string FormatRegistryEntry(const std::string& peer_address) const = 0;
+  /// Returns nothing when the record names no daemon.
+  [[nodiscard]] virtual std::optional<RegistryEntry> ParseRegistryEntry(const StoredRecord& record) const = 0;
   /// Parses the answer that holds one object. Returns nothing when it is malformed.
   [[nodiscard]] virtual std::optional<StoredRecord> ParseSingleObject(std::string_view body) const = 0;
   /// Name of the record that holds the routing table.
--- a/src/include/pimentomoor/upstream_set.h
+++ b/src/include/pimentomoor/upstream_set.h
@@ -67,6 +67,9 @@
   /// and of the others that callers use, among which the upstreams' connections are divided.
   void SetDaemons(std::size_t known_daemons, const std::string& self, std::vector<std::string> others);
   [[nodiscard]] std::size_t daemon_count() const { return daemon_count_; }
+  /// Sets whether the daemons above are the whole fleet. Otherwise a cold upstream's rate is shared with another part
+  /// of the fleet.
+  void SetFleetKnown(bool known) { fleet_known_ = known; }
 
   /// State of a service, which is created if it doesn't exist.
   ServiceState& FindOrCreateService(const std::string& name);
@@ -125,6 +128,7 @@
   bool last_sweep_skipped_ = false;           // the last call of Sweep() was skipped
   std::size_t paced_count_ = 0;               // upstreams with an active pace at the last call of Sweep()
   std::size_t daemon_count_ = 0;
+  bool fleet_known_ = true;
   std::string self_address_;
   std::vector<std::string> other_addresses_;
   ColdUpstreamSenders cold_senders_;
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "gateway_registry.h"
 #include "gateway_rollouts.h"
 #include "pimentomoor/log.h"
 #include "pimentomoor/random.h"
@@ -92,6 +93,13 @@
       loop_, metrics_, MemberExchangeOptions{.seeds = settings_.seed_peers},
       [this](proto::GatewayHeartbeat& heartbeat) { FillHeartbeat(heartbeat); },
       [this](const proto::GatewayHeartbeat& heartbeat) { OnHeartbeat(heartbeat); });
+  registry_ = std::make_unique<GatewayRegistry>(GatewayRegistry::Options{
+      .loop = loop_,
+      .metrics = metrics_,
+      .codec = codec_,
+      .store_address = settings_.store_address,
+      .self_address = settings_.peer_address,
+      .set_contacts = [this](std::vector<std::string> contacts) { peers_->SetContacts(std::move(contacts)); }});
   peers_->SetUsageHandler([this](const proto::GatewayUsage& message) { usage_.Receive(message); });
 }
 
@@ -182,15 +190,34 @@
   if (rollouts_ != nullptr) {
     rollouts_->RecordServingDaemons(others, named);
   }
-  const bool has_seeds = std::any_of(settings_.seed_peers.begin(), settings_.seed_peers.end(),
-                                     [this](const std::string& seed) { return seed != settings_.peer_address; });
-  const std::size_t counted = peers_->CountDaemonsForBudgets();
-  const std::size_t sharing = counted == 0 && !has_seeds ? 1 : counted;
+  if (has_seeds()) {
+    proto::GatewayMember self;
+    FillSelf(self);
+    registry_->Tick(self, peers_->LivePeers());
+  }
+  const std::size_t sharing = CountSharingDaemons();
   upstreams_.SetDaemons(sharing, settings_.caller_address, std::move(others));
+  upstreams_.SetFleetKnown(IsFleetKnown());
   usage_.SetPeers(peers_->LivePeers(), peers_->LivePeersVersion(), ready(), sharing, peers_->answered_at());
   ChooseFeedSource();
 }
 
+bool Gateway::has_seeds() const {
+  return std::any_of(settings_.seed_peers.begin(), settings_.seed_peers.end(),
+                     [this](const std::string& seed) { return seed != settings_.peer_address; });
+}
+
+bool Gateway::IsFleetKnown() const { return !has_seeds() || registry_->fleet_known(); }
+
+std::size_t Gateway::CountSharingDaemons() {
+  const std::size_t counted = peers_->CountDaemonsForBudgets();
+  if (IsFleetKnown()) {
+    return std::max<std::size_t>(counted, 1);
+  }
+  // There may be another part of the fleet that shares the budgets. It is taken to be as large as this one.
+  return counted == 0 ? 0 : std::max(counted, 2 * (peers_->LivePeers().size() + 1));
+}
+
 void Gateway::MeasureLoad() {
   const TimePoint now = loop_.Now();
   const double seconds = std::chrono::duration<double>(now - load_measured_at_).count();
@@ -440,17 +467,21 @@
   exchange->Respond({.status = 404});
 }
 
+void Gateway::FillSelf(proto::GatewayMember& self) const {
+  self.set_host(settings_.host);
+  self.set_incarnation(incarnation_);
+  self.set_failure_domain(settings_.failure_domain);
+  self.set_caller_address(settings_.caller_address);
+  self.set_peer_address(settings_.peer_address);
+  self.set_ready(ready());
+  self.set_store_answers(IsStoreAvailable());
+  self.set_capacity_millicores(settings_.capacity_millicores);
+  self.set_load_parts_per_s(reported_load_parts_per_s_);
+  self.set_fleet_known(has_seeds() && registry_ != nullptr && registry_->fleet_known());
+}
+
 void Gateway::FillHeartbeat(proto::GatewayHeartbeat& heartbeat) const {
-  auto* self = heartbeat.mutable_sender();
-  self->set_host(settings_.host);
-  self->set_incarnation(incarnation_);
-  self->set_failure_domain(settings_.failure_domain);
-  self->set_caller_address(settings_.caller_address);
-  self->set_peer_address(settings_.peer_address);
-  self->set_ready(ready());
-  self->set_store_answers(IsStoreAvailable());
-  self->set_capacity_millicores(settings_.capacity_millicores);
-  self->set_load_parts_per_s(reported_load_parts_per_s_);
+  FillSelf(*heartbeat.mutable_sender());
   for (const auto& entry : crashes_.Entries(loop_.Now())) {
     auto* report = heartbeat.add_crashes();
     report->set_fingerprint(entry.fingerprint);
--- /dev/null
+++ b/src/libgateway/gateway_registry_test.cpp
@@ -0,0 +1,142 @@
+// Tests of gateway daemons that find each other through the registry in the store, with daemons and a store on
+// loopback.
+#include "gateway_registry.h"
+
+#include <list>
+
+#include "gateway_store.h"
+#include "pimentomoor/gateway.h"
+
+// clang-format off
+#include <CppUTest/TestHarness.h>  // last: it redefines operator new
+// clang-format on
+
+namespace pimentomoor {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Time from the start in which daemons that reach the store find each other; docs/platform.md.
+constexpr Duration kDiscoveryTime = seconds(6);
+
+// Addresses that differ from each other, because all are bound until the last one is known.
+std::vector<std::string> FreeAddresses(EventLoop& loop, std::size_t count) {
+  std::list<TcpListener> listeners;
+  std::vector<std::string> addresses;
+  while (addresses.size() < count) {
+    addresses.push_back(listeners.emplace_back(loop, "127.0.0.1:0", [](int) {}).address());
+  }
+  return addresses;
+}
+
+}  // namespace
+
+TEST_GROUP(GatewayRegistry) {
+  SystemClock clock;
+  EventLoop loop{clock};
+  Metrics store_metrics;
+  std::unique_ptr<PlatformCodec> codec = MakePlatformCodec();
+  std::vector<std::string> addresses = FreeAddresses(loop, 18);
+  std::string store_address = TakeAddress();
+  GatewayStore store{loop, store_metrics, codec->field_names(), store_address};
+  std::list<GatewaySettings> settings;
+  std::list<Gateway> gateways;
+  HttpClient client{loop};
+  std::vector<std::string> peers;
+  std::string gone = TakeAddress();  // of a daemon that no longer runs
+
+  void setup() override {
+    store.ChangeObject(std::string(platform_names::kRoutingKind), std::string(platform_names::kRoutingObjectName),
+                       FormatRoutingTable("1", 0));
+    for (int i = 0; i < 4; ++i) {
+      peers.push_back(TakeAddress());
+    }
+  }
+
+  std::string TakeAddress() {
+    std::string address = addresses.back();
+    addresses.pop_back();
+    return address;
+  }
+
+  void Start(std::size_t index, const std::vector<std::string>& seeds) {
+    settings.push_back({.host = "gateway-" + std::to_string(index),
+                        .failure_domain = "zone-" + std::to_string(index % 2),
+                        .caller_address = TakeAddress(),
+                        .ready_address = TakeAddress(),
+                        .directory_address = TakeAddress(),
+                        .peer_address = peers[index],
+                        .seed_peers = seeds,
+                        .store_address = store_address});
+    gateways.emplace_back(loop, settings.back(), *codec).Start();
+  }
+
+  /// Number of daemons whose status holds the text.
+  std::size_t CountShowing(const std::string& text) {
+    std::size_t answers = 0, matches = 0;
+    for (const auto& daemon : settings) {
+      client.Call({.target = daemon.peer_address, .path = "/status", .timeout = seconds(1)},
+                  [&](const HttpResult& result) {
+                    ++answers;
+                    matches += result.body.find(text) != std::string::npos ? 1 : 0;
+                  });
+    }
+    loop.RunUntil([&] { return answers == settings.size(); }, seconds(2));
+    return matches;
+  }
+  bool AllShowWithin(Duration limit, const std::string& text) {
+    for (const TimePoint end = loop.Now() + limit; loop.Now() < end;) {
+      if (CountShowing(text) == settings.size()) {
+        return true;
+      }
+      Wait(milliseconds(50));
+    }
+    return false;
+  }
+  void Wait(Duration time) {
+    loop.RunUntil([] { return false; }, time);
+  }
+};
+
+// Guards against two cells that both use the shared budgets in full, such as the cap of a customer, because the seeds
+// of neither name a daemon of the other.
+TEST(GatewayRegistry, CellsWhoseSeedsDontNameEachOtherBecomeOne) {
+  for (std::size_t i = 0; i < 4; ++i) {
+    const std::size_t first = i < 2 ? 0 : 2;
+    Start(i, {peers[first], peers[first + 1], gone});
+  }
+  CHECK(AllShowWithin(kDiscoveryTime, "\"daemons_alive\":4,\"daemons_counted\":4,\"fleet_known\":true"));
+}
+
+// Guards against a daemon that stays alone because all its seeds are gone.
+TEST(GatewayRegistry, DaemonWhoseSeedsAreGoneFindsTheOthers) {
+  Start(0, {peers[0], peers[1], gone});
+  Start(1, {peers[0], peers[1], gone});
+  CHECK(AllShowWithin(kDiscoveryTime, "\"daemons_alive\":2,\"daemons_counted\":2,\"fleet_known\":true"));
+  Start(2, {gone});
+  CHECK(AllShowWithin(kDiscoveryTime, "\"daemons_alive\":3,\"daemons_counted\":3,\"fleet_known\":true"));
+}
+
+// Guards against a cell that uses the whole of the shared budgets while it can't know whether it is the whole fleet,
+// and against one that stays at its part when the store is back.
+TEST(GatewayRegistry, CellThatCantRegisterLeavesHalfOfTheBudgetsToOthers) {
+  store.SetRefusesCreation(true);
+  Start(0, {peers[0], peers[1], gone});
+  Start(1, {peers[0], peers[1], gone});
+  CHECK(AllShowWithin(kDiscoveryTime, "\"daemons_alive\":2,\"daemons_counted\":4,\"fleet_known\":false"));
+  Wait(seconds(2));
+  CHECK_EQUAL(2U, CountShowing("\"daemons_alive\":2,\"daemons_counted\":4,\"fleet_known\":false"));
+  store.SetRefusesCreation(false);
+  CHECK(AllShowWithin(kDiscoveryTime, "\"daemons_alive\":2,\"daemons_counted\":2,\"fleet_known\":true"));
+}
+
+// Guards against a daemon that never counts itself as the only one, and refuses customers with a cap, because its
+// seeds are gone.
+TEST(GatewayRegistry, OnlyDaemonOfAFleetKnowsIt) {
+  store.ChangeObject(std::string(platform_names::kRegistryKind), "corrupt", "{\"peer-address\":7}");
+  Start(0, {gone});
+  CHECK(AllShowWithin(kDiscoveryTime, "\"daemons_alive\":1,\"daemons_counted\":1,\"fleet_known\":true"));
+}
+
+}  // namespace pimentomoor
--- a/src/libgateway/gateway_status.cpp
+++ b/src/libgateway/gateway_status.cpp
@@ -136,7 +136,8 @@
       << ",\"running_ms\":" << AgeMs(started_at_, now)
       << ",\n\"routing_version\":" << (routing_table_ == nullptr ? 0 : routing_table_->version())
       << ",\"routing_age_ms\":" << AgeMs(routing_table_since_, now) << ",\n\"daemons_alive\":" << 1 + members.size()
-      << ",\"daemons_counted\":" << upstreams_.daemon_count() << ",\"relay\":" << JsonBool(peers_->IsRelay())
+      << ",\"daemons_counted\":" << upstreams_.daemon_count() << ",\"fleet_known\":" << JsonBool(IsFleetKnown())
+      << ",\"relay\":" << JsonBool(peers_->IsRelay())
       << ",\"heartbeat_ms\":" << peers_->HeartbeatInterval() / std::chrono::milliseconds(1) << ",\"members\":[";
   for (std::size_t i = 0; i < std::min(members.size(), kMaxMembersShown); ++i) {
     const auto& member = members[i];
--- a/src/libgateway/member_exchange.cpp
+++ b/src/libgateway/member_exchange.cpp
@@ -215,6 +215,13 @@
   }
 }
 
+void MemberExchange::SetContacts(std::vector<std::string> contacts) {
+  contacts_ = std::move(contacts);
+  if (!contacts_.empty()) {
+    seeds_contacted_at_ = {};
+  }
+}
+
 void MemberExchange::AddSeedHeartbeats(TimePoint now, std::vector<MemberDatagram>& out) {
   // Relays go on sending heartbeats to the seeds, at a longer interval, so that the parts of a partitioned cell find
   // each other again.
@@ -234,9 +241,11 @@
   // A live seed is in this part of the cell already. At this interval the seed and this daemon would expire again and
   // again as direct peers of each other.
   const auto& alive = members_.LivePeers(now);
-  for (const auto& seed : options_.seeds) {
-    if (!std::ranges::binary_search(alive, seed, {}, &proto::GatewayMember::peer_address)) {
-      add_heartbeat(seed);
+  for (const auto* addresses : {&options_.seeds, &contacts_}) {
+    for (const auto& address : *addresses) {
+      if (!std::ranges::binary_search(alive, address, {}, &proto::GatewayMember::peer_address)) {
+        add_heartbeat(address);
+      }
     }
   }
   // Departed daemons are contacted as well, because all seeds may be gone or in this part of a partitioned cell.
--- a/src/libgateway/member_exchange_test.cpp
+++ b/src/libgateway/member_exchange_test.cpp
@@ -171,6 +171,18 @@
   }
 }
 
+// Guards against cells that stay apart although a daemon of one has been told of a daemon of the other.
+TEST(MemberExchange, CellsBecomeOneThroughOneContact) {
+  for (const std::size_t size : {std::size_t{6}, std::size_t{62}, std::size_t{300}}) {
+    Cell cell({.daemon_count = size, .domain_count = 3, .cell_count = 2, .loss_percent = 1});
+    cell.RunFor(seconds(5));
+    CheckTrue(cell.TotalMissing() > 0, "cells that don't know each other", size);
+    cell.SetContacts(0, {3});
+    const Duration taken = cell.TimeUntil([&] { return cell.TotalMissing() == 0; }, seconds(5));
+    CheckTrue(taken <= seconds(5), "lists complete after a contact", size);
+  }
+}
+
 // Guards against leaving upstreams that some daemons don't learn of, also one that starts later, against datagrams
 // beyond one packet, and against reports that are sent for ever, among them to daemons of a build that ignores them.
 TEST(MemberExchange, LeavingUpstreamsReachAllDaemons) {
--- a/src/libgateway/member_list.cpp
+++ b/src/libgateway/member_list.cpp
@@ -17,7 +17,7 @@
 bool HasSameState(const proto::GatewayMember& left, const proto::GatewayMember& right) {
   return left.incarnation() == right.incarnation() && left.ready() == right.ready() &&
          left.store_answers() == right.store_answers() && left.load_parts_per_s() == right.load_parts_per_s() &&
-         left.capacity_millicores() == right.capacity_millicores() &&
+         left.capacity_millicores() == right.capacity_millicores() && left.fleet_known() == right.fleet_known() &&
          left.caller_address() == right.caller_address() && left.failure_domain() == right.failure_domain();
 }
 
--- a/src/libgateway/object_codec_test.cpp
+++ b/src/libgateway/object_codec_test.cpp
@@ -18,6 +18,21 @@
   }
 };
 
+// Guards against an entry of the registry that a daemon can't read back, and against contacts that name no daemon.
+TEST(ObjectCodec, RegistryEntriesAreReadAsWritten) {
+  const std::string body = codec->FormatRegistryEntry("10.1.0.9:7380");
+  const auto record =
+      codec->ParseSingleObject(body.substr(0, body.find("},")) + R"(,"rev":4)" + body.substr(body.find("},")));
+  CHECK(record.has_value());
+  const auto entry = codec->ParseRegistryEntry(*record);
+  CHECK(entry == (RegistryEntry{.name = "10.1.0.9-7380", .peer_address = "10.1.0.9:7380", .revision = 4}));
+  CHECK(codec->RegistryEntryTarget(*entry).ends_with("/10.1.0.9-7380?rev=4"));
+  for (const char* payload : {"", "null", "[]", "{}", R"({"peer-address":7})", R"({"peer-address":"10.1.0.9"})",
+                              R"({"peer-address":"10.1.0.9:70000"})"}) {
+    CHECK_TEXT(!codec->ParseRegistryEntry({.name = "n", .payload = payload}), payload);
+  }
+}
+
 // Guards against a corrupt entry that crashes the daemon, or that yields a searcher with made-up values.
 TEST(ObjectCodec, MalformedEntriesYieldNoSearcher) {
   const auto entry = ParseEntry("ready", "draining");
--- a/src/libgateway/upstream_set.cpp
+++ b/src/libgateway/upstream_set.cpp
@@ -197,7 +197,9 @@
   if (daemon_count_ == 0 && context_.loop.Now() - started_at_ < kDaemonDiscoveryTime) {
     return 0;
   }
-  return cold_senders_.SenderCount(upstream_id, self_address_, cold_settings_.slack * cold_settings_.safety);
+  const std::size_t senders =
+      cold_senders_.SenderCount(upstream_id, self_address_, cold_settings_.slack * cold_settings_.safety);
+  return fleet_known_ ? senders : 2 * senders;
 }
 
 bool UpstreamSet::TryTakeColdToken(ServiceState& service, UpstreamLink& link) {
--- a/src/libnet/persistent_http_client.cpp
+++ b/src/libnet/persistent_http_client.cpp
@@ -9,6 +9,7 @@
 
 constexpr TcpOptions kTcpOptions = {.user_timeout = std::chrono::milliseconds(2'500),
                                     .keepalive_idle = std::chrono::seconds(1)};
+constexpr std::string_view kGet = "GET";
 constexpr MessageLimits kResponseLimits = {.head_bytes = 16 * 1024, .body_bytes = std::uint64_t{16} * 1024 * 1024};
 
 }  // namespace
@@ -27,20 +28,29 @@
 PersistentHttpClient::~PersistentHttpClient() { loop_.Cancel(timeout_timer_); }
 
 void PersistentHttpClient::Get(const std::string& target, Duration timeout, Callback done) {
-  Start(target, std::nullopt, timeout, std::move(done));
+  Start(kGet, target, "", timeout, std::move(done));
 }
 
 void PersistentHttpClient::Put(const std::string& target, std::string body, Duration timeout, Callback done) {
-  Start(target, std::move(body), timeout, std::move(done));
+  Start("PUT", target, std::move(body), timeout, std::move(done));
 }
 
-void PersistentHttpClient::Start(std::string target, std::optional<std::string> put_body, Duration timeout,
+void PersistentHttpClient::Post(const std::string& target, std::string body, Duration timeout, Callback done) {
+  Start("POST", target, std::move(body), timeout, std::move(done));
+}
+
+void PersistentHttpClient::Delete(const std::string& target, Duration timeout, Callback done) {
+  Start("DELETE", target, "", timeout, std::move(done));
+}
+
+void PersistentHttpClient::Start(std::string_view method, std::string target, std::string body, Duration timeout,
                                  Callback done) {
   if (done_) {
     Abort();
   }
+  method_ = method;
   target_ = std::move(target);
-  put_body_ = std::move(put_body);
+  body_ = std::move(body);
   done_ = std::move(done);
   timeout_timer_ = loop_.CallAfter(timeout, [this] {
     CloseStream();
@@ -60,10 +70,10 @@
   if (stream_ == nullptr) {
     return;  // connecting failed immediately; the timeout timer reports it
   }
-  const std::string head = (put_body_ ? "PUT " : "GET ") + target_ + " HTTP/1.1\r\nHost: " + address_ + "\r\n";
-  if (put_body_) {
-    stream_->Write(head + "Content-Type: application/json\r\nContent-Length: " + std::to_string(put_body_->size()) +
-                   "\r\n\r\n" + *put_body_);
+  const std::string head = std::string(method_) + " " + target_ + " HTTP/1.1\r\nHost: " + address_ + "\r\n";
+  if (!body_.empty()) {
+    stream_->Write(head + "Content-Type: application/json\r\nContent-Length: " + std::to_string(body_.size()) +
+                   "\r\n\r\n" + body_);
   } else {
     stream_->Write(head + "\r\n");
   }
@@ -122,7 +132,7 @@
   if (!done_) {
     return;
   }
-  if (reused_connection_ && !reader_->started() && !put_body_) {
+  if (reused_connection_ && !reader_->started() && method_ == kGet) {
     // The server has closed the idle connection. A GET can safely be sent again over a new one.
     reused_connection_ = false;
     SendRequest();
--- a/src/testsuite/gateway_store.h
+++ b/src/testsuite/gateway_store.h
@@ -49,6 +49,9 @@
     return found == objects_[kind].end() ? "null" : found->second.status;
   }
 
+  /// Refuses to create objects for its callers from now on, or no longer.
+  void SetRefusesCreation(bool refuses) { refuses_creation_ = refuses; }
+
   /// Does the next `count` writes of a status without answering them.
   void LoseStatusAnswers(unsigned count) { lost_status_answers_ = count; }
   [[nodiscard]] unsigned status_writes() const { return status_writes_; }
@@ -172,6 +175,21 @@
     }
   }
 
+  // Creates the object that the body names, unless there is one.
+  void Create(const std::shared_ptr<CallerExchange>& exchange, const std::string& kind) {
+    const std::string& body = exchange->request.body;
+    const auto document = ParseJson(body, "object");
+    const std::string name = RequireString(RequireField(document, platform_names::kMeta), platform_names::kName);
+    if (const auto found = objects_[kind].find(name); found != objects_[kind].end()) {
+      Respond(*exchange, {.status = 409, .body = Format(name, found->second)});
+      return;
+    }
+    const std::string key = std::string("\"") + platform_names::kSpec + "\":";
+    const std::size_t begin = body.find(key) + key.size();
+    ChangeObject(kind, name, body.substr(begin, body.rfind('}') - begin));
+    Respond(*exchange, {.body = Format(name, objects_[kind][name])});
+  }
+
   // Answers a watch that has events or whose wait has expired. Returns whether it did.
   bool RespondWatch(const Watch& watch, bool wait_expired) {
     std::string events;
@@ -212,6 +230,10 @@
     constexpr std::string_view kStatusSuffix = "/status";
     if (request.method == "PUT" && name.ends_with(kStatusSuffix)) {
       WriteStatus(exchange, kind, name.substr(0, name.size() - kStatusSuffix.size()));
+    } else if (request.method == "POST" && refuses_creation_) {
+      Respond(*exchange, {.status = 404});
+    } else if (request.method == "POST") {
+      Create(exchange, kind);
     } else if (request.method != "GET") {
       const bool deleted = request.method == "DELETE";
       ChangeObject(kind, name, deleted ? "null" : request.body, deleted);
@@ -257,6 +279,7 @@
   std::map<std::string, std::map<std::uint64_t, std::string>> history_;  // JSON by kind and revision
   std::map<std::uint64_t, Watch> watches_;
   std::uint64_t next_watch_id_ = 1;
+  bool refuses_creation_ = false;
   unsigned lost_status_answers_ = 0;
   unsigned status_writes_ = 0;
   std::vector<std::shared_ptr<CallerExchange>> unanswered_;  // calls that never get an answer, kept open
--- a/src/testsuite/member_simulation.cpp
+++ b/src/testsuite/member_simulation.cpp
@@ -140,8 +140,11 @@
             .started_or_killed_at = now,
             .next_tick = now + std::chrono::milliseconds(random_() % 20)};
   MemberExchangeOptions options;
-  for (std::size_t i = 0; i < options_.seed_count; ++i) {
-    options.seeds.push_back(addresses_[i]);
+  const auto cell_of = [this](std::size_t i) { return i / options_.domain_count % options_.cell_count; };
+  for (std::size_t i = 0; i < addresses_.size() && options.seeds.size() < options_.seed_count; ++i) {
+    if (cell_of(i) == cell_of(index)) {
+      options.seeds.push_back(addresses_[i]);
+    }
   }
   daemon.exchange.emplace(MakeSelfHeartbeat(index), options, now);
 }
@@ -155,6 +158,15 @@
   RunAction(index, [&] { return daemons[index].exchange->Announce(now); });
 }
 
+void MemberSimulation::SetContacts(std::size_t index, const std::vector<std::size_t>& contacts) {
+  std::vector<std::string> addresses;
+  addresses.reserve(contacts.size());
+  for (const std::size_t contact : contacts) {
+    addresses.push_back(addresses_[contact]);
+  }
+  daemons[index].exchange->SetContacts(std::move(addresses));
+}
+
 void MemberSimulation::RunFor(Duration time) {
   for (const TimePoint end = now + time; now < end; now += kStepDuration) {
     for (std::size_t i = 0; i < daemons.size(); ++i) {
--- a/src/testsuite/member_simulation.h
+++ b/src/testsuite/member_simulation.h
@@ -22,6 +22,7 @@
   std::size_t daemon_count = 6;
   std::size_t domain_count = 3;
   std::size_t seed_count = 3;               // number of daemons that all others use as seeds; they are the first ones
+  std::size_t cell_count = 1;               // cells; the seeds of a daemon are the first daemons of its cell
   std::size_t full_lists_per_domain = 100;  // number of daemons of each domain that keep all members
   int loss_percent = 0;                     // of the datagrams, like the following two
   int duplicate_percent = 0;
@@ -59,6 +60,9 @@
   void Announce(std::size_t index);
   void RunFor(Duration time);
 
+  /// Sets daemons that the daemon contacts like seeds.
+  void SetContacts(std::size_t index, const std::vector<std::size_t>& contacts);
+
   /// Whether the daemon keeps all members, and not only those of its failure domain.
   [[nodiscard]] bool KeepsAllMembers(std::size_t index) const;
   /// Number of running daemons that are not in the list of daemon `index` with their current incarnation and
