Remove a flag of the registry that repeats another, and name a computed property like a function

No change of behaviour: a read of the registry sets both flags alike. FleetRegistry, GatewayRegistry, ObjectCodec and CrashReports pass under AddressSanitizer and UBSan.

--- a/src/include/pimentomoor/fleet_registry.h
+++ b/src/include/pimentomoor/fleet_registry.h
@@ -41,8 +41,7 @@
 
 /// What a registrar knows of the registry.
 struct FleetRegistryState {
-  bool registered = false;  // this daemon's entry is in the registry
-  bool read_since_registered = false;
+  bool registered = false;                        // the last read of the registry had this daemon's entry
   std::vector<RegistryEntry> others;              // entries of other daemons
   std::map<std::string, TimePoint> silent_since;  // by peer address: daemons of `others` that are not in the cell
 
--- a/src/include/pimentomoor/gateway.h
+++ b/src/include/pimentomoor/gateway.h
@@ -115,7 +115,7 @@
   [[nodiscard]] bool IsStoreAvailable() const;
   void BuildRollouts();
   /// Whether the settings name other daemons.
-  [[nodiscard]] bool has_seeds() const;
+  [[nodiscard]] bool HasSeeds() const;
   /// Whether this daemon and those that it counts are the whole fleet.
   [[nodiscard]] bool IsFleetKnown() const;
   /// Number of daemons that share budgets; 0 while it is unknown.
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -190,7 +190,7 @@
   if (rollouts_ != nullptr) {
     rollouts_->RecordServingDaemons(others, named);
   }
-  if (has_seeds()) {
+  if (HasSeeds()) {
     proto::GatewayMember self;
     FillSelf(self);
     registry_->Tick(self, peers_->LivePeers());
@@ -202,12 +202,12 @@
   ChooseFeedSource();
 }
 
-bool Gateway::has_seeds() const {
+bool Gateway::HasSeeds() const {
   return std::any_of(settings_.seed_peers.begin(), settings_.seed_peers.end(),
                      [this](const std::string& seed) { return seed != settings_.peer_address; });
 }
 
-bool Gateway::IsFleetKnown() const { return !has_seeds() || registry_->fleet_known(); }
+bool Gateway::IsFleetKnown() const { return !HasSeeds() || registry_->fleet_known(); }
 
 std::size_t Gateway::CountSharingDaemons() {
   const std::size_t counted = peers_->CountDaemonsForBudgets();
@@ -477,7 +477,7 @@
   self.set_store_answers(IsStoreAvailable());
   self.set_capacity_millicores(settings_.capacity_millicores);
   self.set_load_parts_per_s(reported_load_parts_per_s_);
-  self.set_fleet_known(has_seeds() && registry_ != nullptr && registry_->fleet_known());
+  self.set_fleet_known(HasSeeds() && registry_ != nullptr && registry_->fleet_known());
 }
 
 void Gateway::FillHeartbeat(proto::GatewayHeartbeat& heartbeat) const {
--- a/src/libroute/fleet_registry.cpp
+++ b/src/libroute/fleet_registry.cpp
@@ -27,7 +27,6 @@
 void ApplyRegistry(FleetRegistryState& state, std::vector<RegistryEntry> entries, const std::string& self_address) {
   const auto removed = std::erase_if(entries, [&](const auto& entry) { return entry.peer_address == self_address; });
   state.registered = removed > 0;
-  state.read_since_registered = state.registered;
   state.others = std::move(entries);
 }
 
@@ -42,9 +41,7 @@
   state.silent_since = std::move(silent_since);
 }
 
-bool IsWholeFleet(const FleetRegistryState& state) {
-  return state.registered && state.read_since_registered && state.silent_since.empty();
-}
+bool IsWholeFleet(const FleetRegistryState& state) { return state.registered && state.silent_since.empty(); }
 
 std::vector<std::string> RegistryContacts(const FleetRegistryState& state, const FleetRegistryOptions& options) {
   std::vector<std::string> contacts;
