--- a/src/include/pimentomoor/fleet_registry.h
+++ b/src/include/pimentomoor/fleet_registry.h
@@ -48,8 +48,10 @@
   friend bool operator==(const FleetRegistryState&, const FleetRegistryState&) = default;
 };
 
-/// Whether `self` is the registrar of its cell: the relay with the lowest peer address among those that the store
-/// answers. `peers` are the other daemons of the cell, ordered by peer address.
+/// Whether `self` is the registrar of its cell: of the relays that the store answers, the one with the lowest peer
+/// address that is not the first relay of its failure domain, or the lowest if there is no such one. The first relays
+/// watch the store for their domains, and a daemon that the store turns away should not hold up both. `peers` are the
+/// other daemons of the cell, ordered by peer address.
 bool IsRegistrar(const proto::GatewayMember& self, const std::vector<proto::GatewayMember>& peers,
                  std::size_t relays_per_domain);
 
--- a/src/libroute/fleet_registry.cpp
+++ b/src/libroute/fleet_registry.cpp
@@ -8,20 +8,30 @@
 
 bool IsRegistrar(const proto::GatewayMember& self, const std::vector<proto::GatewayMember>& peers,
                  std::size_t relays_per_domain) {
-  if (!self.store_answers()) {
-    return false;
-  }
-  std::map<std::string_view, std::size_t> daemons_by_domain;  // with a lower peer address
+  std::map<std::string_view, std::size_t> ranks;  // daemons with a lower peer address, by failure domain
+  const proto::GatewayMember* first_relay = nullptr;
+  // Returns whether the daemon is a later relay of its domain that the store answers.
+  const auto is_later_relay = [&](const proto::GatewayMember& member) {
+    const std::size_t rank = ranks[member.failure_domain()]++;
+    if (rank >= relays_per_domain || !member.store_answers()) {
+      return false;
+    }
+    first_relay = first_relay == nullptr ? &member : first_relay;
+    return rank > 0;
+  };
+  bool self_passed = false;
   for (const auto& peer : peers) {
-    if (peer.peer_address() > self.peer_address()) {
-      break;
+    if (!self_passed && peer.peer_address() > self.peer_address()) {
+      self_passed = true;
+      if (is_later_relay(self)) {
+        return true;
+      }
     }
-    const bool is_relay = daemons_by_domain[peer.failure_domain()]++ < relays_per_domain;
-    if (is_relay && peer.store_answers()) {
+    if (is_later_relay(peer)) {
       return false;
     }
   }
-  return daemons_by_domain[self.failure_domain()] < relays_per_domain;
+  return (!self_passed && is_later_relay(self)) || first_relay == &self;
 }
 
 void ApplyRegistry(FleetRegistryState& state, std::vector<RegistryEntry> entries, const std::string& self_address) {
