--- a/src/libgateway/gateway_registry.cpp
+++ b/src/libgateway/gateway_registry.cpp
@@ -21,8 +21,7 @@
 }  // namespace
 
 GatewayRegistry::GatewayRegistry(Options options)
-    : options_(std::move(options)),
-      next_round_at_(options_.loop.Now() + options_.timing.first_call_delay) {}
+    : options_(std::move(options)), next_round_at_(options_.loop.Now() + options_.timing.first_call_delay) {}
 
 PersistentHttpClient& GatewayRegistry::client() {
   if (client_ == nullptr) {
