--- a/src/include/pimentomoor/request_run.h
+++ b/src/include/pimentomoor/request_run.h
@@ -129,6 +129,7 @@
     unsigned may_have_run_count = 0;     // exchanges whose upstream may have run the part
     bool done = false;
     bool waits_for_cold_token = false;  // only cold upstreams without a token were left at the last attempt
+    bool upstreams_ended = false;       // no process listens at any upstream that could have got the part
     std::string stamp;                  // stamp of the answer that is merged
     TimePoint next_send_at{};           // time of the next hedge, or of the next attempt when nothing is running
   };
@@ -154,6 +155,9 @@
   [[nodiscard]] std::size_t NeededParts() const;
   /// Number of parts for which there is an upstream that this daemon may send to.
   [[nodiscard]] std::size_t ServableParts() const;
+  /// Refuses the request when nothing of it was sent and no process listens at the upstreams of too many parts.
+  /// Returns whether it did.
+  bool RefuseIfUpstreamsEnded();
   [[nodiscard]] Duration RouteHedgeDelay() const;
 
   // Upstreams that asked for a pause, in request_pause.cpp.
--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -195,7 +195,12 @@
   [[nodiscard]] bool misdirected() const { return misdirected_; }
   [[nodiscard]] bool in_outage() const { return in_outage_; }
   [[nodiscard]] bool entry_missing() const { return entry_missing_; }
-  [[nodiscard]] bool cold(TimePoint now) const { return now < std::max(cold_until_, assumed_cold_until_); }
+  [[nodiscard]] bool cold(TimePoint now) const {
+    return process_ended_ || now < std::max(cold_until_, assumed_cold_until_);
+  }
+  /// Whether the upstream has refused a connection and accepted none since. Whatever accepts the next one has just
+  /// started. Known only of upstreams whose cold rate is limited.
+  [[nodiscard]] bool process_ended() const { return process_ended_; }
   void SetColdFor(Duration left, TimePoint now);
   /// Describes the upstream for the choice between upstreams.
   [[nodiscard]] UpstreamCandidate MakeCandidate(TimePoint now) const;
@@ -222,6 +227,7 @@
   bool senders_known = false;     // `sender_count` counts the daemons that live
   bool in_subset = true;          // this daemon is one of those that share max_connections
   bool limits_cold_rate = false;  // the service limits the rate of requests to a cold upstream
+  Duration cold_duration{};       // time after its start for which an upstream of the service is cold
 
  private:
   friend class UpstreamConnection;
@@ -258,7 +264,11 @@
   /// Remembers a request whose connection ended before its whole response, which may have crashed the upstream. Opens
   /// a connection if there is none, because a refused connection confirms the crash.
   void SuspectCrash(const UpstreamExchangePtr& exchange);
+  void OnConnected();
   void OnConnectFailed(UpstreamConnection* connection);
+  /// Records that no process listens at the upstream's address, so that the next one counts as cold from the start,
+  /// before its entry is read.
+  void RecordProcessEnd();
   /// Reports the requests that were lost within kCrashDetectionWindow before a connection was refused.
   void ReportCrashSuspects();
 
@@ -274,6 +284,7 @@
   std::vector<UpstreamExchangePtr> unanswered_;  // sent and not done, oldest first
   TimePoint cold_until_{};
   TimePoint assumed_cold_until_{};
+  bool process_ended_ = false;  // a connection was refused, and none has been accepted since
   UpstreamHold hold_;
   bool retired_ = false;
   bool misdirected_ = false;  // the upstream said that it is not the expected instance; until its entry changes
--- a/src/libgateway/queued_requests_test.cpp
+++ b/src/libgateway/queued_requests_test.cpp
@@ -161,4 +161,57 @@
   CHECK(unknown + load_for(milliseconds(500)) <= kBound);
 }
 
+// Guards against sending the whole load to an upstream that has crashed and started again, before its entry says that
+// it is cold; and against counting it as cold for ever when the store can't tell.
+TEST(QueuedRequests, UpstreamThatStartsAgainGetsTheColdRateBeforeItsEntryIsRead) {
+  constexpr double kRate = 5;
+  constexpr double kBound = kRate * 1.5 + 5;  // in each second, for all daemons; docs/platform.md, section 3
+  constexpr Duration kColdDuration = seconds(2);
+  for (const bool entry_is_read : {true, false}) {
+    RequestHarness gateway;
+    gateway.SetRoute(SingleRoute(true), 30, kRate);
+    gateway.upstreams.ApplyServices(
+        {{.name = "s", .max_connections = 30, .cold_duration = kColdDuration, .cold_requests_per_s = kRate}});
+    auto& searcher = gateway.AddSearcher("s", {.response = IdentifiedResponse(kCallerRequestId, "restarted")});
+    const auto load_for = [&](Duration time) {
+      const unsigned before = searcher.arrivals();
+      const TimePoint end = gateway.loop.Now() + time;
+      while (gateway.loop.Now() < end) {
+        gateway.Call();
+        gateway.Wait(milliseconds(10));
+      }
+      return searcher.arrivals() - before;
+    };
+    CHECK(load_for(milliseconds(300)) > kBound);  // warm
+    searcher.Crash();
+    CHECK_EQUAL(0U, load_for(milliseconds(300)));
+    searcher.Restart();
+    const unsigned unknown = load_for(milliseconds(500));
+    CHECK(unknown > 0);
+    if (entry_is_read) {
+      UpstreamEntry entry = gateway.upstreams.services().at("s").links.front()->entry();
+      entry.start_unix_ms += 1;
+      entry.cold_remaining = kColdDuration;
+      gateway.upstreams.Announce(entry);
+    }
+    CHECK(unknown + load_for(milliseconds(500)) <= kBound);
+    load_for(milliseconds(1'500));
+    CHECK(load_for(milliseconds(300)) > kBound);
+  }
+}
+
+// Guards against requests that wait for the cold rate of upstreams whose processes have ended.
+TEST(QueuedRequests, AreRefusedAtOnceWhileNoUpstreamListens) {
+  harness.SetRoute(SingleRoute(true), 30, kColdRequestsPerS);
+  auto& searcher = harness.AddSearcher("s", {.response = IdentifiedResponse(kCallerRequestId, "answer")});
+  CHECK(harness.WaitForAnswer(harness.Call()));
+  searcher.Crash();
+  for (int i = 0; i < 20; ++i) {
+    auto& caller = harness.Call();
+    CHECK(harness.WaitForAnswer(caller));
+    CHECK_EQUAL(503, caller.status());
+    CHECK(harness.loop.Now() - caller.sent_at < milliseconds(150));  // half of the route's objective
+  }
+}
+
 }  // namespace pimentomoor
--- a/src/libgateway/request_run.cpp
+++ b/src/libgateway/request_run.cpp
@@ -188,7 +188,9 @@
       parts_[i].next_send_at = context_.loop.Now() + context_.settings.retry_pause;
     }
   }
-  ScheduleTimer();
+  if (!RefuseIfUpstreamsEnded()) {
+    ScheduleTimer();
+  }
 }
 
 bool RequestRun::FitsBeforeStop() const {
@@ -217,6 +219,21 @@
   }));
 }
 
+bool RequestRun::RefuseIfUpstreamsEnded() {
+  if (finished_ ||
+      std::any_of(parts_.begin(), parts_.end(), [](const Part& part) { return part.sent_count > 0 || part.done; })) {
+    return false;
+  }
+  const auto ended = static_cast<std::size_t>(
+      std::count_if(parts_.begin(), parts_.end(), [](const Part& part) { return part.upstreams_ended; }));
+  if (parts_.size() - ended >= NeededParts()) {
+    return false;
+  }
+  context_.metrics.Count("pimentomoor_run_refused_total", 1, "reason=\"no searcher\"");
+  Refuse();
+  return true;
+}
+
 Duration RequestRun::RouteHedgeDelay() const {
   const HedgeSettings settings{.enabled = true,
                                .quantile = context_.settings.hedge_quantile,
@@ -282,7 +299,9 @@
       candidates.push_back(candidate);
     }
   }
-  part.waits_for_cold_token = !links.empty();
+  part.waits_for_cold_token =
+      std::any_of(links.begin(), links.end(), [](const auto& link) { return !link->process_ended(); });
+  part.upstreams_ended = !links.empty() && !part.waits_for_cold_token;
   while (!links.empty()) {
     const std::size_t tie_break = context_.next_tie_break++;
     const std::size_t chosen = context_.settings.naive ? ChooseUpstreamNaive(candidates, latency_.expected, tie_break)
@@ -415,7 +434,9 @@
       part.next_send_at = now + std::max(context_.settings.retry_pause, pause);
     }
   }
-  ScheduleTimer();
+  if (!RefuseIfUpstreamsEnded()) {
+    ScheduleTimer();
+  }
 }
 
 void RequestRun::OnExchangeDone(UpstreamExchange& exchange, ExchangeOutcome outcome, ResponseMessage& response) {
--- a/src/libgateway/upstream_connection.cpp
+++ b/src/libgateway/upstream_connection.cpp
@@ -92,7 +92,7 @@
   }
 }
 
-void UpstreamConnection::OnConnected() { link_.SendWaiting(); }
+void UpstreamConnection::OnConnected() { link_.OnConnected(); }
 
 void UpstreamConnection::OnData(std::string_view bytes) {
   if (running_exchange_ == nullptr) {
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "pimentomoor/log.h"
 #include "upstream_connection.h"
 
 namespace pimentomoor {
@@ -214,6 +215,7 @@
   RecordConnectFailure(signals, context_.loop.Now());
   if (refused) {
     ReportCrashSuspects();
+    RecordProcessEnd();
   }
   RecordPaceConnectFailure();
   const bool any_connected =
@@ -223,6 +225,25 @@
   }
 }
 
+void UpstreamLink::OnConnected() {
+  if (std::exchange(process_ended_, false)) {
+    // Until its entry is read, the start of the new process is known only to lie before this moment.
+    AssumeColdUntil(std::max(assumed_cold_until_, context_.loop.Now() + cold_duration));
+    LogInfo("upstream process started", {{"upstream", entry_.id}, {"service", entry_.service}});
+  }
+  SendWaiting();
+}
+
+void UpstreamLink::RecordProcessEnd() {
+  if (!limits_cold_rate || process_ended_) {
+    return;
+  }
+  process_ended_ = true;
+  context_.metrics.Count("pimentomoor_upstream_process_ends_total");
+  LogInfo("upstream process ended", {{"upstream", entry_.id}, {"service", entry_.service}});
+  ReleaseInadmissible();
+}
+
 void UpstreamLink::ReportCrashSuspects() {
   const TimePoint now = context_.loop.Now();
   for (const auto& [lost_at, request] : std::exchange(crash_suspects_, {})) {
--- a/src/libgateway/upstream_set.cpp
+++ b/src/libgateway/upstream_set.cpp
@@ -68,6 +68,7 @@
 void UpstreamSet::Announce(UpstreamEntry entry) {
   const TimePoint now = context_.loop.Now();
   const auto found = by_id_.find(entry.id);
+  ColdRateLimiter cold_rate_limiter;
   if (found != by_id_.end()) {
     const auto link = found->second;
     if (IsOlder(entry, link->entry())) {
@@ -83,12 +84,15 @@
       }
       return;
     }
+    // The earlier link may have sent to this process already.
+    cold_rate_limiter = link->cold_rate_limiter;
     Remove(link);
   }
   ServiceState& service = FindOrCreateService(entry.service);
   const auto link = std::make_shared<UpstreamLink>(context_, std::move(entry));
   link->SetInOutage(outages_.contains(link->entry().failure_domain));
   link->SetHold(holds_.Find(link->lifetime_key()));
+  link->cold_rate_limiter = cold_rate_limiter;
   by_id_[link->entry().id] = link;
   const auto position = std::find_if(service.links.begin(), service.links.end(),
                                      [&](const auto& other) { return link->entry().id < other->entry().id; });
@@ -183,6 +187,7 @@
     link.sender_count = subset.daemons_per_upstream;
     link.senders_known = daemon_count_ > 0;
     link.limits_cold_rate = service.spec.cold_requests_per_s > 0;
+    link.cold_duration = service.spec.cold_duration;
     link.in_subset = IsInSubset(subset, i, service.links.size());
   }
 }
--- a/src/testsuite/scripted_searcher.h
+++ b/src/testsuite/scripted_searcher.h
@@ -82,6 +82,17 @@
   [[nodiscard]] unsigned arrivals() const { return arrivals_; }
   /// Number of connections accepted.
   [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+  /// Ends all connections, and refuses later ones until Restart().
+  void Crash() {
+    listener_.reset();
+    for (Connection& connection : connections_) {
+      connection.stream.reset();
+    }
+  }
+  /// Listens again at the same address.
+  void Restart() {
+    listener_.emplace(loop_, address_, [this](int fd) { Accept(fd); });
+  }
   /// Number of requests that the gateway cancelled by closing their connection, in a script without a response.
   [[nodiscard]] unsigned cancelled_requests() const { return cancelled_requests_; }
 
@@ -140,13 +151,6 @@
     }
   }
 
-  void Crash() {
-    listener_.reset();
-    for (Connection& connection : connections_) {
-      connection.stream.reset();
-    }
-  }
-
   EventLoop& loop_;
   const SearcherScript script_;
   unsigned arrivals_ = 0, cancelled_requests_ = 0;
