queued_requests_test: share the load of two tests

Cause: two tests held the same loop that sends a request every 10 ms and counts the arrivals. Change: CountArrivalsUnderLoad serves both; times, bounds and checks are the same.

--- a/src/libgateway/queued_requests_test.cpp
+++ b/src/libgateway/queued_requests_test.cpp
@@ -20,6 +20,17 @@
                                ResponseWithLength("first").substr(std::string("HTTP/1.1 200 OK\r\n").size());
 constexpr Duration kWorkTime = milliseconds(300);  // the first request runs at the upstream while the others wait
 
+// Sends a request every 10 ms and returns the number of requests that arrived at the searcher.
+unsigned CountArrivalsUnderLoad(RequestHarness& harness, const ScriptedSearcher& searcher, Duration time) {
+  const unsigned before = searcher.arrivals();
+  const TimePoint end = harness.loop.Now() + time;
+  while (harness.loop.Now() < end) {
+    harness.Call();
+    harness.Wait(milliseconds(10));
+  }
+  return searcher.arrivals() - before;
+}
+
 }  // namespace
 
 TEST_GROUP(QueuedRequests) {
@@ -141,15 +152,7 @@
   harness.SetRoute(SingleRoute(true), 30, kRate);
   auto& searcher =
       harness.AddSearcher("s", {.response = IdentifiedResponse(kCallerRequestId, "cold")}, {.failure_domain = "b"});
-  const auto load_for = [&](Duration time) {
-    const unsigned before = searcher.arrivals();
-    const TimePoint end = harness.loop.Now() + time;
-    while (harness.loop.Now() < end) {
-      harness.Call();
-      harness.Wait(milliseconds(10));
-    }
-    return searcher.arrivals() - before;
-  };
+  const auto load_for = [&](Duration time) { return CountArrivalsUnderLoad(harness, searcher, time); };
   CHECK(load_for(milliseconds(300)) > kBound);  // warm
   harness.upstreams.SetOutages({"b"});
   harness.Wait(milliseconds(100));
@@ -174,15 +177,7 @@
     gateway.upstreams.ApplyServices(
         {{.name = "s", .max_connections = 30, .cold_duration = kColdDuration, .cold_requests_per_s = kRate}});
     auto& searcher = gateway.AddSearcher("s", {.response = IdentifiedResponse(kCallerRequestId, "restarted")});
-    const auto load_for = [&](Duration time) {
-      const unsigned before = searcher.arrivals();
-      const TimePoint end = gateway.loop.Now() + time;
-      while (gateway.loop.Now() < end) {
-        gateway.Call();
-        gateway.Wait(milliseconds(10));
-      }
-      return searcher.arrivals() - before;
-    };
+    const auto load_for = [&](Duration time) { return CountArrivalsUnderLoad(gateway, searcher, time); };
     CHECK(load_for(milliseconds(300)) > kBound);  // warm
     searcher.Crash();
     CHECK_EQUAL(0U, load_for(milliseconds(300)));
