http1_message: limit the line of a chunk and the trailer in any pieces

Beast doesn't limit the line of a chunk and the trailer. The readers limited only the part of one that was kept for the next read, so a trailer longer than the limit was refused when it came in pieces and read when it came at once. Callers and searchers inside the limit saw nothing of it.

Ruled out: the differences of Beast that fuzz_target.h allows (errors in an incomplete head, quoted chunk extensions); the inputs found have neither, or whole read in one case and refused in the other.

Change: behind the head, a reader passes the parser no more than the limit at a time. What is still incomplete in such a window is too large, however the bytes arrived.

--- a/src/libnet/http1_message.cpp
+++ b/src/libnet/http1_message.cpp
@@ -117,7 +117,8 @@
       return ReadStatus::kNeedMore;
     }
     error_code error;
-    const std::size_t consumed = parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+    const std::string_view window = parser.Window(bytes);
+    const std::size_t consumed = parser.put(boost::asio::const_buffer(window.data(), window.size()), error);
     bytes.remove_prefix(consumed);
     if ((!error || error == http::error::need_more) && parser.CountHeadBytes(consumed, bytes.size())) {
       return ReadStatus::kHeadTooLarge;
@@ -127,6 +128,9 @@
       return ReadStatus::kMalformed;
     }
     if (error == http::error::need_more) {
+      if (consumed > 0 && consumed + bytes.size() > window.size()) {
+        continue;  // the part that is incomplete in this window may be complete in the next one
+      }
       return parser.NeedMore(bytes.size());
     }
     if (error) {
@@ -165,10 +169,16 @@
     return head_bytes_ + (this->eager() ? 0 : remaining) > max_head_bytes_;
   }
 
+  // The front of `bytes` that one put() call may read. Beast doesn't limit the line of a chunk and the trailer.
+  // Within a window they can't exceed the limit, in however many pieces they arrive.
+  [[nodiscard]] std::string_view Window(std::string_view bytes) const {
+    return this->is_header_done() ? bytes.substr(0, max_head_bytes_) : bytes;
+  }
+
   // What to report for an incomplete message of which `unparsed` bytes are kept until more arrive: part of the head,
-  // or of the line or trailer of a chunk, which has no end of its own.
+  // or of the line or trailer of a chunk, of which at least one byte is missing.
   [[nodiscard]] ReadStatus NeedMore(std::size_t unparsed) const {
-    return unparsed > max_head_bytes_ ? ReadStatus::kHeadTooLarge : ReadStatus::kNeedMore;
+    return unparsed >= max_head_bytes_ ? ReadStatus::kHeadTooLarge : ReadStatus::kNeedMore;
   }
 
   [[nodiscard]] bool malformed() const { return malformed_; }
--- a/src/libnet/http1_message_test.cpp
+++ b/src/libnet/http1_message_test.cpp
@@ -148,6 +148,33 @@
   }
 }
 
+// Guards against a message that is read or refused depending on how its bytes arrive: the limit held only for the
+// part of a chunk's line or of a trailer that was kept, and not for one that arrived as a whole.
+TEST(Http1Message, ChunkLinesAndTrailersHaveOneLimitInAnyPieces) {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string last_chunk = "0\r\n\r\n";
+  struct Case {
+    std::string start;
+    std::string end;
+    std::string rest;
+  };
+  for (const Case& element : {Case{"1;", "\r\n", "a\r\n" + last_chunk}, Case{"0;", "\r\n\r\n", ""},
+                              Case{"0\r\nA: ", "\r\n\r\n", ""}, Case{"zz", "\r\n", last_chunk}}) {
+    const ReadStatus within_limit = element.start == "zz" ? ReadStatus::kMalformed : ReadStatus::kComplete;
+    for (const std::size_t excess : {0, 1, 2, 600}) {
+      const std::size_t length = kLimits.head_bytes + excess;
+      const std::string text(length - element.start.size() - element.end.size(), 'a');
+      const std::string message = head + element.start + text + element.end + element.rest;
+      const ReadStatus expected = excess == 0 ? within_limit : ReadStatus::kHeadTooLarge;
+      for (const std::size_t size : {std::size_t{1}, std::size_t{7}, std::size_t{256}, message.size()}) {
+        ResponseReader reader(kNames, kLimits, false, true);
+        std::string rest;
+        CHECK(ReadInPieces(reader, message, size, rest) == expected);
+      }
+    }
+  }
+}
+
 // Guards against a response that is taken for whole although its connection ended within its head, its body of known
 // length or its chunks.
 TEST(Http1Message, ResponseThatEndsTooEarlyIsNeverWhole) {
