http1_message: refuse an unfinished head at its limit in any pieces

Cause: a longer fuzz run found a head that had reached the limit without its end. Beast refuses it when the start line came in pieces, and asks for more when the start line came whole, because it applies its limit to the fields alone then. At least one byte is still missing, so the head is too large.

Change: CountHeadBytes() refuses an unfinished head that has reached the limit.

The new unit test fails without the change ("read(message.substr(0, kLimits.head_bytes)) == kHeadTooLarge") and passes with it.

--- a/src/libnet/http1_message.cpp
+++ b/src/libnet/http1_message.cpp
@@ -158,15 +158,15 @@
   }
 
   // Adds the `consumed` bytes of a put() call to the size of the head. Returns whether the head exceeds its limit;
-  // the `remaining` bytes count as part of an incomplete head. Beast's own limit applies to the start line and the
-  // fields separately when they arrive together, and to their sum when they do not.
+  // the `remaining` bytes and at least one more are part of an incomplete head. Beast's own limit applies to the
+  // start line and the fields separately when they arrive together, and to their sum when they do not.
   bool CountHeadBytes(std::size_t consumed, std::size_t remaining) {
     if (this->eager()) {
       return false;
     }
     head_bytes_ += consumed;
     this->eager(this->is_header_done());
-    return head_bytes_ + (this->eager() ? 0 : remaining) > max_head_bytes_;
+    return this->eager() ? head_bytes_ > max_head_bytes_ : head_bytes_ + remaining >= max_head_bytes_;
   }
 
   // The front of `bytes` that one put() call may read. Beast doesn't limit the line of a chunk and the trailer.
--- a/src/libnet/http1_message_test.cpp
+++ b/src/libnet/http1_message_test.cpp
@@ -175,6 +175,27 @@
   }
 }
 
+// Guards against the same with a head: an unfinished one that has reached the limit was refused only when its start
+// line had arrived in pieces.
+TEST(Http1Message, HeadsHaveOneLimitInAnyPieces) {
+  const std::string start = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: ";
+  const std::string end = "\r\n\r\n";
+  for (const std::size_t excess : {0, 1, 2}) {
+    const std::string text(kLimits.head_bytes + excess - start.size() - end.size(), 'a');
+    const std::string message = start + text + end;
+    for (const std::size_t size : {std::size_t{1}, std::size_t{7}, std::size_t{256}, message.size()}) {
+      const auto read = [size](const std::string& bytes) {
+        ResponseReader reader(kNames, kLimits, false, true);
+        std::string rest;
+        return ReadInPieces(reader, bytes, size, rest);
+      };
+      CHECK(read(message) == (excess == 0 ? ReadStatus::kComplete : ReadStatus::kHeadTooLarge));
+      CHECK(read(message.substr(0, kLimits.head_bytes - 1)) == ReadStatus::kNeedMore);
+      CHECK(excess == 0 || read(message.substr(0, kLimits.head_bytes)) == ReadStatus::kHeadTooLarge);
+    }
+  }
+}
+
 // Guards against a response that is taken for whole although its connection ended within its head, its body of known
 // length or its chunks.
 TEST(Http1Message, ResponseThatEndsTooEarlyIsNeverWhole) {
