Tests: take addresses that no other test process can get

FreeAddress() of seven test files released a port of the range from which the kernel serves the tests beside it, and the daemon of the test listened there some time later.

Change: TakeTestAddress() gives addresses of a block of ports that a test process owns while it holds the block's first port, outside the range of the kernel and of the tests with processes.

Before / after: by reading; the failure was seen once in one run of all unit tests and not reproduced alone.

--- a/src/libgateway/customer_keys_test.cpp
+++ b/src/libgateway/customer_keys_test.cpp
@@ -4,6 +4,7 @@
 #include "pimentomoor/gateway.h"
 #include "pimentomoor/http.h"
 #include "request_harness.h"
+#include "test_address.h"
 
 // clang-format off
 #include <CppUTest/TestHarness.h>  // last: it redefines operator new
@@ -19,8 +20,6 @@
 // The upstream's reader keeps all fields but this one in RequestMessage::forward_fields.
 const FieldNames kUpstreamFieldNames{.request_id = platform_names::kRequestIdField};
 
-std::string FreeAddress(EventLoop& loop) { return HttpServer(loop, {}).address(); }
-
 // The upstream takes one request at a time, so that others wait for it.
 std::string MakeTable(unsigned version, const std::string& customers, bool is_public = false) {
   return R"({"version":)" + std::to_string(version) +
@@ -41,7 +40,7 @@
   EventLoop loop{clock};
   Metrics metrics;
   std::unique_ptr<PlatformCodec> codec = MakePlatformCodec();
-  const std::string store_address = FreeAddress(loop);
+  const std::string store_address = TakeTestAddress();
   GatewayStore store{loop, metrics, codec->field_names(), store_address};
   std::vector<std::shared_ptr<CallerExchange>> arrivals;
   bool holds_answers = false;
@@ -53,10 +52,10 @@
                         }};
   GatewaySettings settings{.host = "gateway-1",
                            .failure_domain = "z",
-                           .caller_address = FreeAddress(loop),
-                           .ready_address = FreeAddress(loop),
-                           .directory_address = FreeAddress(loop),
-                           .peer_address = FreeAddress(loop),
+                           .caller_address = TakeTestAddress(),
+                           .ready_address = TakeTestAddress(),
+                           .directory_address = TakeTestAddress(),
+                           .peer_address = TakeTestAddress(),
                            .store_address = store_address,
                            .usage_caps = {.window = seconds(5), .excess = 0.1, .slack = 20}};
   std::unique_ptr<Gateway> gateway;
--- a/src/libgateway/gateway_inspection_test.cpp
+++ b/src/libgateway/gateway_inspection_test.cpp
@@ -7,6 +7,7 @@
 #include "pimentomoor/gateway.h"
 #include "pimentomoor/http.h"
 #include "pimentomoor/strict_yaml.h"
+#include "test_address.h"
 
 // clang-format off
 #include <CppUTest/TestHarness.h>  // last: it redefines operator new
@@ -19,8 +20,6 @@
 
 constexpr const char* kTraceId = "4bf92f3577b34da6a3ce929d0e0e4736";
 
-std::string FreeAddress(EventLoop& loop) { return HttpServer(loop, {}).address(); }
-
 std::string Object(const std::string& name, const std::string& spec) {
   return R"({"meta":{"name":")" + name + R"(","rev":3},"spec":)" + spec + "}";
 }
@@ -70,10 +69,10 @@
     bad.Handle("/", [](const HttpRequest&, const HttpResponder& respond) { respond({.status = 500}); });
     settings = {.host = "gateway-1",
                 .failure_domain = "z",
-                .caller_address = FreeAddress(loop),
-                .ready_address = FreeAddress(loop),
-                .directory_address = FreeAddress(loop),
-                .peer_address = FreeAddress(loop),
+                .caller_address = TakeTestAddress(),
+                .ready_address = TakeTestAddress(),
+                .directory_address = TakeTestAddress(),
+                .peer_address = TakeTestAddress(),
                 .store_address = store.address(),
                 .retry = {.window = std::chrono::seconds(1)}};
     gateway = std::make_unique<Gateway>(loop, settings, *codec);
@@ -124,7 +123,7 @@
 
 // Guards against a dead daemon that hides the others in the status, or that is missing in the error output.
 TEST(GatewayInspection, StatusShowsDaemonsBesideADeadOne) {
-  const std::string dead = FreeAddress(loop);
+  const std::string dead = TakeTestAddress();
   const CommandResult result = Run({"gateway-status", "--daemon", dead, "--daemon", settings.peer_address});
   LONGS_EQUAL(1, result.exit_code);
   for (const std::string& text : {"pimentomoor gateway-status: " + dead + ": ", std::string("  3/3 "),
@@ -168,7 +167,7 @@
   settings.seed_peers = {settings.peer_address};
   for (std::string* address : {&settings.caller_address, &settings.ready_address, &settings.directory_address,
                                &settings.peer_address, &settings.store_address}) {
-    *address = FreeAddress(loop);
+    *address = TakeTestAddress();
   }
   Gateway follower(loop, settings, *codec);  // no store listens at its address, so it gets the entries from the seed
   follower.Start();
@@ -210,7 +209,7 @@
   settings.seed_peers = {settings.peer_address};
   for (std::string* address : {&settings.caller_address, &settings.ready_address, &settings.directory_address,
                                &settings.peer_address, &settings.store_address}) {
-    *address = FreeAddress(loop);
+    *address = TakeTestAddress();
   }
   Gateway follower(loop, settings, *codec);  // no store listens at its address, so it gets the objects from the seed
   follower.Start();
--- a/src/libgateway/gateway_registry_test.cpp
+++ b/src/libgateway/gateway_registry_test.cpp
@@ -6,6 +6,7 @@
 
 #include "gateway_store.h"
 #include "pimentomoor/gateway.h"
+#include "test_address.h"
 
 // clang-format off
 #include <CppUTest/TestHarness.h>  // last: it redefines operator new
@@ -20,16 +21,6 @@
 // Time from the start in which daemons that reach the store find each other; docs/platform.md.
 constexpr Duration kDiscoveryTime = seconds(6);
 
-// Addresses that differ from each other, because all are bound until the last one is known.
-std::vector<std::string> FreeAddresses(EventLoop& loop, std::size_t count) {
-  std::list<TcpListener> listeners;
-  std::vector<std::string> addresses;
-  while (addresses.size() < count) {
-    addresses.push_back(listeners.emplace_back(loop, "127.0.0.1:0", [](int) {}).address());
-  }
-  return addresses;
-}
-
 }  // namespace
 
 TEST_GROUP(GatewayRegistry) {
@@ -37,35 +28,28 @@
   EventLoop loop{clock};
   Metrics store_metrics;
   std::unique_ptr<PlatformCodec> codec = MakePlatformCodec();
-  std::vector<std::string> addresses = FreeAddresses(loop, 18);
-  std::string store_address = TakeAddress();
+  std::string store_address = TakeTestAddress();
   GatewayStore store{loop, store_metrics, codec->field_names(), store_address};
   std::list<GatewaySettings> settings;
   std::list<Gateway> gateways;
   HttpClient client{loop};
   std::vector<std::string> peers;
-  std::string gone = TakeAddress();  // of a daemon that no longer runs
+  std::string gone = TakeTestAddress();  // of a daemon that no longer runs
 
   void setup() override {
     store.ChangeObject(std::string(platform_names::kRoutingKind), std::string(platform_names::kRoutingObjectName),
                        FormatRoutingTable("1", 0));
     for (int i = 0; i < 4; ++i) {
-      peers.push_back(TakeAddress());
+      peers.push_back(TakeTestAddress());
     }
   }
 
-  std::string TakeAddress() {
-    std::string address = addresses.back();
-    addresses.pop_back();
-    return address;
-  }
-
   void Start(std::size_t index, const std::vector<std::string>& seeds) {
     settings.push_back({.host = "gateway-" + std::to_string(index),
                         .failure_domain = "zone-" + std::to_string(index % 2),
-                        .caller_address = TakeAddress(),
-                        .ready_address = TakeAddress(),
-                        .directory_address = TakeAddress(),
+                        .caller_address = TakeTestAddress(),
+                        .ready_address = TakeTestAddress(),
+                        .directory_address = TakeTestAddress(),
                         .peer_address = peers[index],
                         .seed_peers = seeds,
                         .store_address = store_address});
--- a/src/libgateway/gateway_restore_test.cpp
+++ b/src/libgateway/gateway_restore_test.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway_store.h"
 #include "pimentomoor/gateway.h"
+#include "test_address.h"
 
 // clang-format off
 #include <CppUTest/TestHarness.h>  // last: it redefines operator new
@@ -15,8 +16,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-std::string FreeAddress(EventLoop& loop) { return HttpServer(loop, {}).address(); }
-
 }  // namespace
 
 TEST_GROUP(GatewayRestore) {
@@ -24,7 +23,7 @@
   EventLoop loop{clock};
   Metrics store_metrics;
   std::unique_ptr<PlatformCodec> codec = MakePlatformCodec();
-  std::string store_address = FreeAddress(loop);
+  std::string store_address = TakeTestAddress();
   GatewayStore store{loop, store_metrics, codec->field_names(), store_address};
   std::list<GatewaySettings> settings;
   std::list<Gateway> gateways;
@@ -33,11 +32,11 @@
   void Start(bool reads_store) {
     settings.push_back({.host = "gateway-" + std::to_string(settings.size()),
                         .failure_domain = "z",
-                        .caller_address = FreeAddress(loop),
-                        .ready_address = FreeAddress(loop),
-                        .directory_address = FreeAddress(loop),
-                        .peer_address = FreeAddress(loop),
-                        .store_address = reads_store ? store_address : FreeAddress(loop)});
+                        .caller_address = TakeTestAddress(),
+                        .ready_address = TakeTestAddress(),
+                        .directory_address = TakeTestAddress(),
+                        .peer_address = TakeTestAddress(),
+                        .store_address = reads_store ? store_address : TakeTestAddress()});
     settings.back().seed_peers = {settings.front().peer_address};
     gateways.emplace_back(loop, settings.back(), *codec).Start();
     CHECK(loop.RunUntil([this] { return gateways.back().ready(); }, seconds(10)));
--- a/src/libgateway/gateway_rollouts_test.cpp
+++ b/src/libgateway/gateway_rollouts_test.cpp
@@ -5,6 +5,7 @@
 #include "gateway_load.h"
 #include "pimentomoor/gateway.h"
 #include "request_harness.h"
+#include "test_address.h"
 
 // clang-format off
 #include <CppUTest/TestHarness.h>  // last: it redefines operator new
@@ -19,10 +20,6 @@
 constexpr unsigned kOrderSeconds = 6;
 constexpr RolloutSettings kRollouts;
 
-std::string FreeAddress(EventLoop& loop) {
-  return TcpListener(loop, "127.0.0.1:0", [](int) {}).address();
-}
-
 }  // namespace
 
 TEST_GROUP(GatewayRollouts) {
@@ -30,7 +27,7 @@
   EventLoop loop{clock};
   Metrics metrics;
   std::unique_ptr<PlatformCodec> codec = MakePlatformCodec();
-  std::string store_address = FreeAddress(loop);
+  std::string store_address = TakeTestAddress();
   GatewayStore store{loop, metrics, codec->field_names(), store_address};
   std::list<GatewaySearcher> old_searchers;
   std::list<GatewaySearcher> new_searchers;
@@ -42,13 +39,13 @@
     store.ChangeObject(std::string(platform_names::kRoutingKind), std::string(platform_names::kRoutingObjectName),
                        FormatRoutingTable("1", 0));
     AddSearchers(old_searchers, "v1", {"a", "b"});
-    std::vector<std::string> peers = {FreeAddress(loop), FreeAddress(loop)};
+    std::vector<std::string> peers = {TakeTestAddress(), TakeTestAddress()};
     for (std::size_t i = 0; i < peers.size(); ++i) {
       settings.push_back({.host = "gateway-" + std::to_string(i),
                           .failure_domain = "zone-" + std::to_string(i),
-                          .caller_address = FreeAddress(loop),
-                          .ready_address = FreeAddress(loop),
-                          .directory_address = FreeAddress(loop),
+                          .caller_address = TakeTestAddress(),
+                          .ready_address = TakeTestAddress(),
+                          .directory_address = TakeTestAddress(),
                           .peer_address = peers[i],
                           .seed_peers = peers,
                           .store_address = store_address,
@@ -66,7 +63,7 @@
                     const std::vector<std::string>& replicas) {
     for (const std::string service : {"fetch", "order"}) {
       for (const auto& replica : replicas) {
-        searchers.emplace_back(loop, metrics, store, service, replica, FreeAddress(loop), version);
+        searchers.emplace_back(loop, metrics, store, service, replica, TakeTestAddress(), version);
       }
     }
   }
--- a/src/libgateway/gateway_stop_test.cpp
+++ b/src/libgateway/gateway_stop_test.cpp
@@ -6,6 +6,7 @@
 #include "pimentomoor/gateway.h"
 #include "pimentomoor/http.h"
 #include "request_harness.h"
+#include "test_address.h"
 
 // clang-format off
 #include <CppUTest/TestHarness.h>  // last: it redefines operator new
@@ -20,8 +21,6 @@
 constexpr Duration kDrainTimeout = milliseconds(2'400);
 constexpr Duration kWorkTime = milliseconds(1'200);
 
-std::string FreeAddress(EventLoop& loop) { return HttpServer(loop, {}).address(); }
-
 std::string Object(const std::string& name, const std::string& spec) {
   return R"({"meta":{"name":")" + name + R"(","rev":3},"spec":)" + spec + "}";
 }
@@ -61,10 +60,10 @@
     Serve("evacuations", "");
     settings = {.host = "gateway-1",
                 .failure_domain = "z",
-                .caller_address = FreeAddress(loop),
-                .ready_address = FreeAddress(loop),
-                .directory_address = FreeAddress(loop),
-                .peer_address = FreeAddress(loop),
+                .caller_address = TakeTestAddress(),
+                .ready_address = TakeTestAddress(),
+                .directory_address = TakeTestAddress(),
+                .peer_address = TakeTestAddress(),
                 .store_address = store.address(),
                 .drain_timeout = kDrainTimeout};
     gateway = std::make_unique<Gateway>(loop, settings, *codec);
--- a/src/libgateway/gateway_usage_test.cpp
+++ b/src/libgateway/gateway_usage_test.cpp
@@ -4,9 +4,9 @@
 #include <sstream>
 
 #include "pimentomoor/gateway_peers.h"
-#include "pimentomoor/http.h"
 #include "pimentomoor/member_list.h"
 #include "pimentomoor/platform_codec.h"
+#include "test_address.h"
 #include "test_loop.h"
 
 // CppUTest's macros come last, because they redefine names that other headers use.
@@ -131,7 +131,7 @@
   std::vector<std::unique_ptr<GatewayPeers>> peers;
   std::vector<proto::GatewayUsage> received;
   for (std::uint64_t i = 0; i < 2; ++i) {
-    addresses.push_back(HttpServer(loop, {}).address());  // a free address
+    addresses.push_back(TakeTestAddress());
     peers.push_back(std::make_unique<GatewayPeers>(
         loop, metrics, MemberExchangeOptions{.seeds = {addresses[0]}},
         [i, address = addresses[i]](proto::GatewayHeartbeat& heartbeat) {
--- a/src/libgateway/request_run_test.cpp
+++ b/src/libgateway/request_run_test.cpp
@@ -3,6 +3,7 @@
 
 #include "fixed_response_searcher.h"
 #include "pimentomoor/platform_codec.h"
+#include "test_address.h"
 
 // clang-format off
 #include <CppUTest/TestHarness.h>  // last: it redefines operator new
@@ -10,15 +11,6 @@
 
 namespace pimentomoor {
 
-namespace {
-
-// Returns an address that refuses connections, because its listener has been closed.
-std::string RefusingAddress(EventLoop& loop) {
-  return TcpListener(loop, "127.0.0.1:0", [](int) {}).address();
-}
-
-}  // namespace
-
 TEST_GROUP(RequestRun) {
   SystemClock clock_;
   EventLoop loop_{clock_};
@@ -74,7 +66,7 @@
   for (int i = 0; i < 4; ++i) {
     AddShard(route, searcher_.address());
   }
-  AddShard(route, RefusingAddress(loop_));
+  AddShard(route, TakeTestAddress());
   const TimePoint started = loop_.Now();
   const auto caller = StartRequest(route);
   CHECK(loop_.RunUntil([&] { return Answers("outcome=\"partial\"") == 1; }, std::chrono::seconds(2)));
--- a/src/testsuite/scripted_searcher.h
+++ b/src/testsuite/scripted_searcher.h
@@ -4,6 +4,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <list>
 #include <memory>
 #include <optional>
@@ -13,6 +14,7 @@
 #include "names.h"
 #include "pimentomoor/event_loop.h"
 #include "pimentomoor/tcp_stream.h"
+#include "test_address.h"
 
 namespace pimentomoor {
 
@@ -73,8 +75,7 @@
 class ScriptedSearcher {
  public:
   ScriptedSearcher(EventLoop& loop, SearcherScript script) : loop_(loop), script_(std::move(script)) {
-    listener_.emplace(loop, "127.0.0.1:0", [this](int fd) { Accept(fd); });
-    address_ = listener_->address();
+    listener_.emplace(loop, address_, [this](int fd) { Accept(fd); });
   }
 
   [[nodiscard]] const std::string& address() const { return address_; }
@@ -82,6 +83,11 @@
   [[nodiscard]] unsigned arrivals() const { return arrivals_; }
   /// Number of connections accepted.
   [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+  [[nodiscard]] std::size_t open_connections() const {
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(),
+                      [](const auto& connection) { return connection.stream != nullptr; }));
+  }
   /// Ends all connections, and refuses later ones until Restart().
   void Crash() {
     listener_.reset();
@@ -155,8 +161,8 @@
   const SearcherScript script_;
   unsigned arrivals_ = 0, cancelled_requests_ = 0;
   std::list<Connection> connections_;
+  const std::string address_ = TakeTestAddress();
   std::optional<TcpListener> listener_;  // nothing after a crash
-  std::string address_;
 };
 
 }  // namespace pimentomoor
