--- a/src/include/pimentomoor/upstream_link.h
+++ b/src/include/pimentomoor/upstream_link.h
@@ -158,7 +158,8 @@
   /// destroyed, because its exchanges hold references to it.
   void Close();
 
-  /// Closes connections that were not established in time and ends overdue exchanges.
+  /// Closes connections that were not established in time and ends overdue exchanges. Probes an upstream whose
+  /// process has ended, so that its next one is noticed without a request.
   void Sweep(TimePoint now);
 
   /// Takes the upstream out of use while operators have its failure domain out of service. Its queue stays until
@@ -218,6 +219,7 @@
   }
   [[nodiscard]] PaceConditions MakePaceConditions(TimePoint now) const;
   [[nodiscard]] bool busy() const { return !connections_.empty() || !waiting_.empty(); }
+  [[nodiscard]] bool needs_sweep() const { return busy() || process_ended_; }
 
   UpstreamSignals signals;
   UpstreamPace pace;
@@ -285,6 +287,7 @@
   TimePoint cold_until_{};
   TimePoint assumed_cold_until_{};
   bool process_ended_ = false;  // a connection was refused, and none has been accepted since
+  TimePoint next_probe_at_{};   // valid while process_ended_
   UpstreamHold hold_;
   bool retired_ = false;
   bool misdirected_ = false;  // the upstream said that it is not the expected instance; until its entry changes
--- a/src/libgateway/queued_requests_test.cpp
+++ b/src/libgateway/queued_requests_test.cpp
@@ -1,6 +1,5 @@
 // Tests of requests that wait for a connection to an upstream (searcher) when it stops accepting them, with callers
 // and upstreams on loopback.
-#include "pimentomoor/upstream_subset.h"
 #include "request_harness.h"
 
 // clang-format off
@@ -211,20 +210,15 @@
 }
 
 // Guards against daemons that never use an upstream again after a start that the store can't tell them of, because
-// they aren't among the senders to it while it is cold. Known to fail, see KNOWN-RED.txt; run ignored tests with -ri.
-IGNORE_TEST(QueuedRequests, AreServedAgainByDaemonsThatDoNotSendToColdUpstreams) {
+// they aren't among the senders to it while it is cold.
+TEST(QueuedRequests, AreServedAgainByDaemonsThatDoNotSendToColdUpstreams) {
   constexpr Duration kColdDuration = milliseconds(500);
-  const std::vector<std::string> others{"o1", "o2", "o3", "o4", "o5", "o6", "o7", "o8"};
-  std::string self = "self";
-  while (DaemonPosition("s-1", self, others) < 3) {  // three of nine daemons send to a cold upstream
-    self += "+";
-  }
   harness.SetRoute(SingleRoute(true), 30, kColdRequestsPerS);
   harness.upstreams.ApplyServices({{.name = "s",
                                     .max_connections = 30,
                                     .cold_duration = kColdDuration,
                                     .cold_requests_per_s = kColdRequestsPerS}});
-  harness.upstreams.SetDaemons(9, self, others);
+  harness.JoinFleetAsOther("s-1");
   auto& searcher = harness.AddSearcher("s", {.response = IdentifiedResponse(kCallerRequestId, "answer")});
   auto& warm = harness.Call();
   CHECK(harness.WaitForAnswer(warm));
@@ -238,4 +232,31 @@
   CHECK_EQUAL(200, again.status());
 }
 
+// Guards against connections that daemons keep after they have noticed the start of an upstream to which others send.
+TEST(QueuedRequests, ProbesLeaveTheConnectionsToTheDaemonsOfTheSubset) {
+  constexpr unsigned kConnectionsForFiveOfNineDaemons = 7;
+  harness.SetRoute(SingleRoute(true), kConnectionsForFiveOfNineDaemons, kColdRequestsPerS);
+  harness.upstreams.SetDaemons(9, "self", kOtherDaemonNames);
+  ScriptedSearcher* const searchers[] = {&harness.AddSearcher("s", {.response = ResponseWithLength("answer")}),
+                                         &harness.AddSearcher("s", {.response = ResponseWithLength("answer")})};
+  CHECK(harness.WaitForAnswer(harness.Call()));
+  for (auto* searcher : searchers) {
+    searcher->Crash();
+  }
+  for (int i = 0; i < 3; ++i) {
+    CHECK(harness.WaitForAnswer(harness.Call()));
+  }
+  const auto& links = harness.upstreams.services().at("s").links;
+  CHECK(std::all_of(links.begin(), links.end(), [](const auto& link) { return link->process_ended(); }));
+  for (auto* searcher : searchers) {
+    searcher->Restart();
+  }
+  harness.Wait(seconds(2));
+  for (std::size_t i = 0; i < links.size(); ++i) {
+    CHECK(!links[i]->process_ended());
+    CHECK_EQUAL(links[i]->in_subset ? 1U : 0U, searchers[i]->open_connections());
+  }
+  CHECK(links[0]->in_subset != links[1]->in_subset);
+}
+
 }  // namespace pimentomoor
--- a/src/libgateway/request_faults_test.cpp
+++ b/src/libgateway/request_faults_test.cpp
@@ -22,7 +22,6 @@
 // Bound of a prompt answer: less than each objective, more than a busy machine needs.
 constexpr Duration kPromptAnswerBound = milliseconds(120);
 constexpr const char* kRecord = "0123456789abcdef";
-const std::vector<std::string> kOtherDaemonNames{"o1", "o2", "o3", "o4", "o5", "o6", "o7", "o8"};
 
 // Whether the caller got a prompt answer that its request has not run, and when to send it again.
 bool IsRefusedPromptly(RequestHarness& harness, Caller& caller) {
@@ -287,12 +286,7 @@
   CHECK_EQUAL(503, second.status());
   const RouteSpec& route = harness.table->spec().routes.front();
   CHECK(harness.loop.Now() - second.sent_at <= route.objective + kPromptAnswerBound);
-  // With eight other daemons, three daemons send to each cold upstream. This daemon must not be one of them.
-  std::string self = "self";
-  while (DaemonPosition("cold", self, kOtherDaemonNames) < 3) {
-    self += "+";
-  }
-  harness.upstreams.SetDaemons(9, self, kOtherDaemonNames);
+  harness.JoinFleetAsOther("cold");
   CHECK(IsRefusedPromptly(harness, harness.Call()));
   CHECK_EQUAL(1U, searcher.arrivals());
 }
@@ -319,7 +313,7 @@
       for (int replica = 0; replica < (state == kAbsent ? 0 : 2); ++replica) {
         UpstreamEntry entry{.id = "x", .draining = state == kDraining};
         while (DaemonPosition(entry.id += std::to_string(i + static_cast<std::size_t>(replica) * kShards), "self",
-                              kOtherDaemonNames) < 3) {
+                              kOtherDaemonNames) < kColdSenders) {
         }
         entry.cold_remaining = state == kOtherDaemons ? seconds(60) : Duration::zero();
         harness.AddSearcher("shard-" + std::to_string(i),
--- a/src/libgateway/upstream_link.cpp
+++ b/src/libgateway/upstream_link.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t kConnectionsBeyondSlots = 2;
 // A shorter rest of a cold time is mostly the delay of a message about a longer one that has been paced.
 constexpr Duration kMinPacedColdTime = std::chrono::milliseconds(300);
+constexpr Duration kProbeInterval = std::chrono::seconds(1);
 
 const QueuePlace& PlaceOf(const UpstreamExchangePtr& exchange) { return exchange->place; }
 
@@ -226,12 +227,16 @@
 }
 
 void UpstreamLink::OnConnected() {
-  if (std::exchange(process_ended_, false)) {
+  const bool process_started = std::exchange(process_ended_, false);
+  if (process_started) {
     // Until its entry is read, the start of the new process is known only to lie before this moment.
     AssumeColdUntil(std::max(assumed_cold_until_, context_.loop.Now() + cold_duration));
     LogInfo("upstream process started", {{"upstream", entry_.id}, {"service", entry_.service}});
   }
   SendWaiting();
+  if (process_started && !in_subset && waiting_.empty()) {
+    CloseIdleConnections();  // the upstream's connections belong to the daemons of the subset
+  }
 }
 
 void UpstreamLink::RecordProcessEnd() {
@@ -239,6 +244,7 @@
     return;
   }
   process_ended_ = true;
+  next_probe_at_ = context_.loop.Now() + kProbeInterval;
   context_.metrics.Count("pimentomoor_upstream_process_ends_total");
   LogInfo("upstream process ended", {{"upstream", entry_.id}, {"service", entry_.service}});
   ReleaseInadmissible();
@@ -422,6 +428,10 @@
   if (leaving() && !usable_as_last_resort()) {
     CloseIdleConnections();  // nothing will be sent over them
   }
+  if (process_ended_ && usable() && connections_.empty() && now >= next_probe_at_) {
+    next_probe_at_ = now + kProbeInterval;
+    OpenConnection();
+  }
 }
 
 void UpstreamLink::RemoveConnection(UpstreamConnection* connection) {
--- a/src/libgateway/upstream_set.cpp
+++ b/src/libgateway/upstream_set.cpp
@@ -305,7 +305,7 @@
   for (const auto& [id, link] : by_id_) {
     link->MaintainPace(now);
     paced_count += link->pace.active ? 1 : 0;
-    if (link->busy()) {
+    if (link->needs_sweep()) {
       link->Sweep(now);
     }
   }
--- a/src/testsuite/request_harness.h
+++ b/src/testsuite/request_harness.h
@@ -5,10 +5,12 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "pimentomoor/caller_server.h"
 #include "pimentomoor/platform_codec.h"
 #include "pimentomoor/request_run.h"
+#include "pimentomoor/upstream_subset.h"
 #include "scripted_searcher.h"
 
 namespace pimentomoor {
@@ -19,6 +21,10 @@
 
 constexpr const char* kCallerRequestId = "0123456789abcdef";
 
+// In a fleet of this daemon and these, three daemons send to each cold upstream.
+const std::vector<std::string> kOtherDaemonNames{"o1", "o2", "o3", "o4", "o5", "o6", "o7", "o8"};
+constexpr std::size_t kColdSenders = 3;
+
 /// A caller that sends one request and stores the bytes that it receives.
 struct Caller final : TcpStreamHandler {
   Caller(EventLoop& loop, const std::string& address, const std::string& request) : sent_at(loop.Now()) {
@@ -95,6 +101,14 @@
                const std::string& body = "") {
     return callers.emplace_back(loop, server.address(), method, request_id, body);
   }
+  /// Joins a fleet in which this daemon isn't one of those that send to the upstream while it is cold.
+  void JoinFleetAsOther(const std::string& upstream_id) {
+    std::string self = "self";
+    while (DaemonPosition(upstream_id, self, kOtherDaemonNames) < kColdSenders) {
+      self += "+";
+    }
+    upstreams.SetDaemons(kOtherDaemonNames.size() + 1, self, kOtherDaemonNames);
+  }
   void Wait(Duration time) {
     loop.RunUntil([] { return false; }, time);
   }
