--- a/src/libgateway/gateway_registry_test.cpp
+++ b/src/libgateway/gateway_registry_test.cpp
@@ -2,11 +2,8 @@
 // loopback.
 #include "gateway_registry.h"
 
-#include <list>
-
+#include "gateway_fleet.h"
 #include "gateway_store.h"
-#include "pimentomoor/gateway.h"
-#include "test_address.h"
 
 // clang-format off
 #include <CppUTest/TestHarness.h>  // last: it redefines operator new
@@ -30,9 +27,7 @@
   std::unique_ptr<PlatformCodec> codec = MakePlatformCodec();
   std::string store_address = TakeTestAddress();
   GatewayStore store{loop, store_metrics, codec->field_names(), store_address};
-  std::list<GatewaySettings> settings;
-  std::list<Gateway> gateways;
-  HttpClient client{loop};
+  GatewayFleet fleet{loop, *codec};
   std::vector<std::string> peers;
   std::string gone = TakeTestAddress();  // of a daemon that no longer runs
 
@@ -45,41 +40,10 @@
   }
 
   void Start(std::size_t index, const std::vector<std::string>& seeds) {
-    settings.push_back({.host = "gateway-" + std::to_string(index),
-                        .failure_domain = "zone-" + std::to_string(index % 2),
-                        .caller_address = TakeTestAddress(),
-                        .ready_address = TakeTestAddress(),
-                        .directory_address = TakeTestAddress(),
-                        .peer_address = peers[index],
-                        .seed_peers = seeds,
-                        .store_address = store_address});
-    gateways.emplace_back(loop, settings.back(), *codec).Start();
-  }
-
-  /// Number of daemons whose status holds the text.
-  std::size_t CountShowing(const std::string& text) {
-    std::size_t answers = 0, matches = 0;
-    for (const auto& daemon : settings) {
-      client.Call({.target = daemon.peer_address, .path = "/status", .timeout = seconds(1)},
-                  [&](const HttpResult& result) {
-                    ++answers;
-                    matches += result.body.find(text) != std::string::npos ? 1 : 0;
-                  });
-    }
-    loop.RunUntil([&] { return answers == settings.size(); }, seconds(2));
-    return matches;
-  }
-  bool AllShowWithin(Duration limit, const std::string& text) {
-    for (const TimePoint end = loop.Now() + limit; loop.Now() < end;) {
-      if (CountShowing(text) == settings.size()) {
-        return true;
-      }
-      Wait(milliseconds(50));
-    }
-    return false;
-  }
-  void Wait(Duration time) {
-    loop.RunUntil([] { return false; }, time);
+    fleet.Start({.failure_domain = "zone-" + std::to_string(index % 2),
+                 .peer_address = peers[index],
+                 .seed_peers = seeds,
+                 .store_address = store_address});
   }
 };
 
@@ -90,16 +54,16 @@
     const std::size_t first = i < 2 ? 0 : 2;
     Start(i, {peers[first], peers[first + 1], gone});
   }
-  CHECK(AllShowWithin(kDiscoveryTime, "\"daemons_alive\":4,\"daemons_counted\":4,\"fleet_known\":true"));
+  CHECK(fleet.AllShowWithin(kDiscoveryTime, {"\"daemons_alive\":4,\"daemons_counted\":4,\"fleet_known\":true"}));
 }
 
 // Guards against a daemon that stays alone because all its seeds are gone.
 TEST(GatewayRegistry, DaemonWhoseSeedsAreGoneFindsTheOthers) {
   Start(0, {peers[0], peers[1], gone});
   Start(1, {peers[0], peers[1], gone});
-  CHECK(AllShowWithin(kDiscoveryTime, "\"daemons_alive\":2,\"daemons_counted\":2,\"fleet_known\":true"));
+  CHECK(fleet.AllShowWithin(kDiscoveryTime, {"\"daemons_alive\":2,\"daemons_counted\":2,\"fleet_known\":true"}));
   Start(2, {gone});
-  CHECK(AllShowWithin(kDiscoveryTime, "\"daemons_alive\":3,\"daemons_counted\":3,\"fleet_known\":true"));
+  CHECK(fleet.AllShowWithin(kDiscoveryTime, {"\"daemons_alive\":3,\"daemons_counted\":3,\"fleet_known\":true"}));
 }
 
 // Guards against a cell that uses the whole of the shared budgets while it can't know whether it is the whole fleet,
@@ -108,11 +72,11 @@
   store.SetRefusesCreation(true);
   Start(0, {peers[0], peers[1], gone});
   Start(1, {peers[0], peers[1], gone});
-  CHECK(AllShowWithin(kDiscoveryTime, "\"daemons_alive\":2,\"daemons_counted\":4,\"fleet_known\":false"));
-  Wait(seconds(2));
-  CHECK_EQUAL(2U, CountShowing("\"daemons_alive\":2,\"daemons_counted\":4,\"fleet_known\":false"));
+  CHECK(fleet.AllShowWithin(kDiscoveryTime, {"\"daemons_alive\":2,\"daemons_counted\":4,\"fleet_known\":false"}));
+  fleet.Wait(seconds(2));
+  CHECK_EQUAL(2U, fleet.CountShowing({"\"daemons_alive\":2,\"daemons_counted\":4,\"fleet_known\":false"}));
   store.SetRefusesCreation(false);
-  CHECK(AllShowWithin(kDiscoveryTime, "\"daemons_alive\":2,\"daemons_counted\":2,\"fleet_known\":true"));
+  CHECK(fleet.AllShowWithin(kDiscoveryTime, {"\"daemons_alive\":2,\"daemons_counted\":2,\"fleet_known\":true"}));
 }
 
 // Guards against a daemon that never counts itself as the only one, and refuses customers with a cap, because its
@@ -120,7 +84,7 @@
 TEST(GatewayRegistry, OnlyDaemonOfAFleetKnowsIt) {
   store.ChangeObject(std::string(platform_names::kRegistryKind), "corrupt", "{\"peer-address\":7}");
   Start(0, {gone});
-  CHECK(AllShowWithin(kDiscoveryTime, "\"daemons_alive\":1,\"daemons_counted\":1,\"fleet_known\":true"));
+  CHECK(fleet.AllShowWithin(kDiscoveryTime, {"\"daemons_alive\":1,\"daemons_counted\":1,\"fleet_known\":true"}));
 }
 
 }  // namespace pimentomoor
--- a/src/libgateway/gateway_restore_test.cpp
+++ b/src/libgateway/gateway_restore_test.cpp
@@ -1,10 +1,7 @@
 // Tests of gateway daemons whose store comes back from an older copy: one daemon that reads the store, one that only
 // hears the first, and one that starts afterwards.
-#include <list>
-
+#include "gateway_fleet.h"
 #include "gateway_store.h"
-#include "pimentomoor/gateway.h"
-#include "test_address.h"
 
 // clang-format off
 #include <CppUTest/TestHarness.h>  // last: it redefines operator new
@@ -25,21 +22,15 @@
   std::unique_ptr<PlatformCodec> codec = MakePlatformCodec();
   std::string store_address = TakeTestAddress();
   GatewayStore store{loop, store_metrics, codec->field_names(), store_address};
-  std::list<GatewaySettings> settings;
-  std::list<Gateway> gateways;
-  HttpClient client{loop};
+  GatewayFleet fleet{loop, *codec};
 
   void Start(bool reads_store) {
-    settings.push_back({.host = "gateway-" + std::to_string(settings.size()),
-                        .failure_domain = "z",
-                        .caller_address = TakeTestAddress(),
-                        .ready_address = TakeTestAddress(),
-                        .directory_address = TakeTestAddress(),
-                        .peer_address = TakeTestAddress(),
-                        .store_address = reads_store ? store_address : TakeTestAddress()});
-    settings.back().seed_peers = {settings.front().peer_address};
-    gateways.emplace_back(loop, settings.back(), *codec).Start();
-    CHECK(loop.RunUntil([this] { return gateways.back().ready(); }, seconds(10)));
+    const std::string first_peer = fleet.settings.empty() ? TakeTestAddress() : fleet.settings.front().peer_address;
+    const Gateway& gateway = fleet.Start({.failure_domain = "z",
+                                          .peer_address = fleet.settings.empty() ? first_peer : "",
+                                          .seed_peers = {first_peer},
+                                          .store_address = reads_store ? store_address : TakeTestAddress()});
+    CHECK(loop.RunUntil([&] { return gateway.ready(); }, seconds(10)));
   }
   void WriteTable(const std::string& version) {
     store.ChangeObject(std::string(platform_names::kRoutingKind), std::string(platform_names::kRoutingObjectName),
@@ -58,32 +49,6 @@
                                             .start_unix_ms = 1,
                                             .sequence = sequence}));
   }
-  /// Whether the status of all daemons holds all the texts.
-  bool AllShow(const std::vector<std::string>& texts) {
-    std::size_t answers = 0, matches = 0;
-    for (const auto& daemon : settings) {
-      client.Call(
-          {.target = daemon.peer_address, .path = "/status", .timeout = seconds(1)}, [&](const HttpResult& result) {
-            ++answers;
-            matches +=
-                std::all_of(texts.begin(), texts.end(),
-                            [&](const std::string& text) { return result.body.find(text) != std::string::npos; })
-                    ? 1
-                    : 0;
-          });
-    }
-    loop.RunUntil([&] { return answers == settings.size(); }, seconds(2));
-    return matches == settings.size();
-  }
-  bool AllShowWithin(Duration limit, const std::vector<std::string>& texts) {
-    for (const TimePoint end = loop.Now() + limit; loop.Now() < end;) {
-      if (AllShow(texts)) {
-        return true;
-      }
-      loop.RunUntil([] { return false; }, milliseconds(20));
-    }
-    return false;
-  }
 };
 
 // Guards against a table, an outage and a drain that are undone by an older copy of the store: at a daemon that reads
@@ -107,26 +72,28 @@
   WriteOutage(true);
   WriteUpstream(2, true);
   const std::vector<std::string> in_force = {"\"routing_version\":8", "\"idle\":\"out\"", "\"drained\":\"draining\""};
-  CHECK(AllShowWithin(seconds(3), in_force));
+  CHECK(fleet.AllShowWithin(seconds(3), in_force));
   store.Restore(loop.Now() - copied_at);
-  CHECK(AllShowWithin(seconds(5), {"\"routing\":{\"revision\":4,\"era\":2", "\"outages\":{\"revision\":4,\"era\":2",
-                                   "\"upstreams\":{\"revision\":4,\"era\":2"}));
-  CHECK(AllShow(in_force));
+  CHECK(fleet.AllShowWithin(seconds(5),
+                            {"\"routing\":{\"revision\":4,\"era\":2", "\"outages\":{\"revision\":4,\"era\":2",
+                             "\"upstreams\":{\"revision\":4,\"era\":2"}));
+  CHECK(fleet.AllShow(in_force));
   Start(true);
   Start(false);
   const std::vector<std::string> known_to_all = {"\"routing_version\":8", "\"idle\":\"out\""};
-  CHECK(AllShowWithin(seconds(5), known_to_all));
+  CHECK(fleet.AllShowWithin(seconds(5), known_to_all));
   for (const TimePoint end = loop.Now() + seconds(3); loop.Now() < end;) {
-    CHECK(AllShow(known_to_all));
+    CHECK(fleet.AllShow(known_to_all));
   }
-  for (const auto& gateway : std::list<const Gateway*>{&gateways.front(), &*std::next(gateways.begin())}) {
+  for (const auto& gateway :
+       std::list<const Gateway*>{&fleet.gateways.front(), &*std::next(fleet.gateways.begin())}) {
     LONGS_EQUAL(1, gateway->metrics().counter("pimentomoor_store_restores_total"));
   }
   WriteOutage(true);
   WriteOutage(false);
   WriteTable("9");
   WriteUpstream(3, true);
-  CHECK(AllShowWithin(
+  CHECK(fleet.AllShowWithin(
       seconds(5), {"\"routing_version\":9", "\"fetch\":{\"misdirected\":0,\"draining\":0,\"leaving\":0,\"out\":0,",
                    "\"drained\":\"draining\""}));
 }
