--- a/src/include/pimentomoor/record_feed.h
+++ b/src/include/pimentomoor/record_feed.h
@@ -25,7 +25,7 @@
   // Wait of the watches in the daemon that verifies for all that no change was missed: a watch can miss a change, or
   // its connection go silent, without an error.
   Duration short_watch_wait = std::chrono::milliseconds(1'800);
-  // Wait of a watch while the store is unavailable, when an answer is needed at once to tell whether it is back.
+  // Wait of a watch whose answer is needed at once, to tell whether the store answers this daemon.
   Duration probe_wait = std::chrono::milliseconds(100);
   // Time beyond its wait after which an unanswered watch has failed.
   Duration watch_timeout_margin = std::chrono::milliseconds(700);
@@ -91,7 +91,7 @@
   }
 
   /// Calls the store anew because a peer, or the feed of another kind, knows a change or an era that neither the
-  /// running watch nor a peer has delivered. Does so at most once for a position.
+  /// running watch nor a peer has delivered. Does so at most once for a position, and not while such a call runs.
   void Recheck(StorePosition position);
 
   [[nodiscard]] RecordKind kind() const { return kind_; }
@@ -168,6 +168,9 @@
   std::uint64_t list_era_ = 0;  // era of the running list
   bool list_pending_ = false;   // whether the next call lists; a list that failed starts over
   bool call_pending_ = false;   // whether a call is running or due
+  // Whether the running or due call shows if the store answers this daemon: the first one for a source, and that of
+  // Recheck. A watch then has probe_wait.
+  bool confirming_ = false;
   bool unreadable_logged_ = false;
   TimePoint last_watch_at_{};
   TimePoint store_unavailable_since_ = TimePoint::max();
--- a/src/libgateway/record_feed.cpp
+++ b/src/libgateway/record_feed.cpp
@@ -40,9 +40,11 @@
     client_.Abort();
     loop_.Cancel(timer_);
     call_pending_ = false;
+    confirming_ = false;
     listed_records_.clear();
   } else if (!list_pending_ || !call_pending_ || view_.era > era()) {
     client_.Abort();  // ends a running watch, which has the wait of the previous source
+    confirming_ = true;
     ScheduleCall(Duration::zero());
   }
 }
@@ -184,7 +186,8 @@
 void RecordFeed::StartWatch() {
   last_watch_at_ = loop_.Now();
   metrics_.Count("pimentomoor_store_calls_total", 1, "call=\"watch\"");
-  const bool probing = store_unavailable() || source_ == Source::kPeers || view_.doubtful_since != TimePoint::max();
+  const bool probing =
+      confirming_ || store_unavailable() || source_ == Source::kPeers || view_.doubtful_since != TimePoint::max();
   const Duration wait = probing                          ? options_.probe_wait
                         : source_ == Source::kShortWatch ? options_.short_watch_wait
                                                          : options_.long_watch_wait;
@@ -227,6 +230,7 @@
 }
 
 void RecordFeed::OnCallFailed() {
+  confirming_ = false;
   metrics_.Count("pimentomoor_store_failures_total");
   const bool outage_began = !store_unavailable();
   if (outage_began) {
@@ -243,6 +247,7 @@
 
 void RecordFeed::OnCallSucceeded() {
   call_pending_ = false;
+  confirming_ = false;
   consecutive_failures_ = 0;
   if (source_ != Source::kPeers) {
     const Duration since = loop_.Now() - last_watch_at_;
@@ -278,6 +283,7 @@
   if (enters_era && call_pending_) {
     // The running call names a revision of the previous era, beyond which the store may stay for long.
     client_.Abort();
+    confirming_ = false;
     listed_records_.clear();
     if (source_ == Source::kPeers && !store_unavailable() && !NeedsList()) {
       loop_.Cancel(timer_);
@@ -297,7 +303,7 @@
 }
 
 void RecordFeed::Recheck(StorePosition position) {
-  if (position <= std::max(content_position(), rechecked_) || store_unavailable() ||
+  if (position <= std::max(content_position(), rechecked_) || store_unavailable() || confirming_ ||
       (call_pending_ && position.era > era() && view_.era >= position.era) ||  // a list is due
       (call_pending_ && loop_.Now() - last_watch_at_ < options_.min_watch_interval)) {
     return;
@@ -305,6 +311,7 @@
   rechecked_ = position;
   metrics_.Count("pimentomoor_store_rechecks_total");
   client_.Abort();
+  confirming_ = true;
   ScheduleCall(Duration::zero());
 }
 
--- a/src/libgateway/record_feed_test.cpp
+++ b/src/libgateway/record_feed_test.cpp
@@ -110,6 +110,30 @@
   LONGS_EQUAL(2, feed.records().size());
 }
 
+// Guards against a daemon that takes the store for available as long as its peers announce changes, because each of
+// them starts the unanswered call anew (review/10).
+TEST(RecordFeed, UnansweredRecheckFailsWhileChangesAreAnnounced) {
+  LoadRecords();
+  for (std::uint64_t revision = 20; revision < 30; ++revision) {
+    feed.Recheck({.revision = revision});
+    RunTurns(
+        loop, clock, [] { return false; }, milliseconds(50));
+  }
+  CHECK(feed.store_unavailable());
+}
+
+// Guards against a daemon that becomes the source of its failure domain and tells only after a long watch that the
+// store doesn't answer it.
+TEST(RecordFeed, FirstWatchForASourceShowsSoonWhetherTheStoreAnswers) {
+  LoadRecords();
+  feed.SetSource(RecordFeed::Source::kPeers);
+  feed.SetSource(RecordFeed::Source::kLongWatch);
+  RunTurns(
+      loop, clock, [] { return false; }, milliseconds(400));
+  CHECK(feed.store_unavailable());
+  STRCMP_EQUAL("/api/objects/servers?watch=10&wait-ms=100", store.targets[2].c_str());
+}
+
 // Guards against unbounded memory for an endless list (the store always names one more page, or repeats one), and
 // against known records that are dropped in favour of such a list.
 TEST(RecordFeed, EndlessListIsAbandonedAndRecordsStay) {
