--- a/src/libgateway/gateway_records.cpp
+++ b/src/libgateway/gateway_records.cpp
@@ -196,9 +196,10 @@
   }
   const Duration waited = loop_.Now() - peer.known_since;
   const bool from_peers = feed.source() == RecordFeed::Source::kPeers || feed.store_unavailable() || !feed.loaded();
-  // The store may answer this daemon as it was before a restoration that the peer knows of.
-  const bool store_is_behind = peer.position.era > feed.era() && waited >= kPeerFetchTimeout;
-  if ((from_peers && (peer.same_domain || !feed.loaded() || waited >= kOwnWatchDelay)) || store_is_behind) {
+  // The store may leave the calls of this daemon unanswered, or answer as it was before a restoration that the peer
+  // knows of.
+  const bool store_is_late = waited >= kPeerFetchTimeout;
+  if ((from_peers && (peer.same_domain || !feed.loaded() || waited >= kOwnWatchDelay)) || store_is_late) {
     FetchFromPeer(peer.peer_address, feed);
   }
   if (feed.loaded() && waited >= (from_peers ? kPeerFetchTimeout : kOwnWatchDelay)) {
