--- a/src/testsuite/test_address.h
+++ b/src/testsuite/test_address.h
@@ -5,8 +5,8 @@
 
 namespace pimentomoor {
 
-/// An address on loopback, "IP:port", at which nothing listens. It is given neither to another call nor to another
-/// test process, and the kernel gives its port to no connection.
+/// An address on loopback, "IP:port", at which nothing listens. No other test process gets it, and the kernel gives
+/// its port to no connection. This process gets it again after 62 further addresses at the earliest.
 std::string TakeTestAddress();
 
 }  // namespace pimentomoor
