--- a/src/libnet/http1_message_test.cpp
+++ b/src/libnet/http1_message_test.cpp
@@ -164,7 +164,8 @@
     for (const std::size_t excess : {0, 1, 2, 600}) {
       const std::size_t length = kLimits.head_bytes + excess;
       const std::string text(length - element.start.size() - element.end.size(), 'a');
-      const std::string message = head + element.start + text + element.end + element.rest;
+      const std::string message =
+          std::string(head).append(element.start).append(text).append(element.end).append(element.rest);
       const ReadStatus expected = excess == 0 ? within_limit : ReadStatus::kHeadTooLarge;
       for (const std::size_t size : {std::size_t{1}, std::size_t{7}, std::size_t{256}, message.size()}) {
         ResponseReader reader(kNames, kLimits, false, true);
@@ -182,7 +183,7 @@
   const std::string end = "\r\n\r\n";
   for (const std::size_t excess : {0, 1, 2}) {
     const std::string text(kLimits.head_bytes + excess - start.size() - end.size(), 'a');
-    const std::string message = start + text + end;
+    const std::string message = std::string(start).append(text).append(end);
     for (const std::size_t size : {std::size_t{1}, std::size_t{7}, std::size_t{256}, message.size()}) {
       const auto read = [size](const std::string& bytes) {
         ResponseReader reader(kNames, kLimits, false, true);
