--- a/review/cases-3.cpp
+++ b/review/cases-3.cpp
@@ -1,7 +1,7 @@
 // Stand-ins and judges of the scripted cases of the third review: the platform's store, searchers and clients in one
 // process on loopback, which starts the daemons with the command of the deploy file.
 //
-//   cases-3 failback|quota FOLDER      run in the repository's root; writes FOLDER/record.txt
+//   cases-3 drain|failback|quota FOLDER      run in the repository's root; writes FOLDER/record.txt
 //
 // Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 #include <arpa/inet.h>
@@ -242,7 +242,8 @@
 
 class Store {
  public:
-  bool silent = false;  // down: calls get no answer
+  bool silent = false;                          // down: calls get no answer
+  std::function<void(double)> on_watch_answer;  // called when a watch of searchers is answered, with its wait
 
   bool Open(int port) {
     return listener_.Open(port, [this](const ConnectionPtr& connection) {
@@ -276,6 +277,7 @@
     std::string kind;
     long after = 0;
     double end = 0;
+    double wait = 0;
   };
 
   static std::string Text(const std::string& name, const Object& object) {
@@ -301,6 +303,9 @@
       }
       watch.connection->Send(
           Answer(200, "{\"events\":[" + events + "],\"store-revision\":" + std::to_string(revision_) + "}"));
+      if (on_watch_answer && watch.kind == "servers") {
+        on_watch_answer(watch.wait);
+      }
       return true;
     });
   }
@@ -322,8 +327,11 @@
     const std::string name = path.substr(std::min(kind.size() + 1, path.size()));
     if (method == "GET" && !Query(query, "watch").empty()) {
       const double wait = std::atof(Query(query, "wait-ms").c_str()) / 1000;
-      watches_.push_back(
-          {.connection = connection, .kind = kind, .after = std::stol(Query(query, "watch")), .end = Now() + wait});
+      watches_.push_back({.connection = connection,
+                          .kind = kind,
+                          .after = std::stol(Query(query, "watch")),
+                          .end = Now() + wait,
+                          .wait = wait});
       After(wait, [this] { AnswerWatches(); });
       AnswerWatches();
     } else if (method == "GET") {
@@ -373,6 +381,7 @@
   std::vector<Run> runs;       // requests that it began to run
   std::vector<Run> cold_runs;  // those of them while it was cold
   bool crashed_by_load = false;
+  double removed_at = 0;  // when its entry was removed; 0: not removed
 
   // Starts a new process under the same id. It is cold if it starts during traffic.
   bool Start(bool during_traffic) {
@@ -393,8 +402,8 @@
     return up_;
   }
   // Ends the process: the kernel closes its connections, and its port refuses new ones.
-  void Crash() {
-    Record("searcher %s crashes with %d requests under way", id_.c_str(), running_);
+  void End(const char* how) {
+    Record("searcher %s %s with %d requests under way", id_.c_str(), how, running_);
     up_ = false;
     ++lifetime_;
     running_ = 0;
@@ -403,6 +412,13 @@
       connection->Close(true);
     }
   }
+  // Leaves without a report: its entry is removed, and it serves on until End().
+  void RemoveEntry() {
+    entry_removed_ = true;
+    removed_at = Now();
+    Record("the entry of searcher %s is removed", id_.c_str());
+    store_.Delete("servers", id_);
+  }
   void BeatForever() {
     After(1.2, [this] {
       WriteEntry();
@@ -413,8 +429,8 @@
 
  private:
   void WriteEntry() {
-    if (!up_ || store_.silent) {
-      return;  // the store is down: the call gets no answer
+    if (!up_ || entry_removed_ || store_.silent) {
+      return;  // or the store is down: the call gets no answer
     }
     store_.Put("servers", id_,
                "{\"backend\":\"svc\",\"address\":\"127.0.0.1:" + std::to_string(port_) +
@@ -444,7 +460,7 @@
           std::count_if(cold_runs.begin(), cold_runs.end(), [&](const Run& other) { return other.at > run.at - 1; });
       if (static_cast<double>(in_last_second) > crash_above_) {
         crashed_by_load = true;
-        Crash();
+        End("crashes");
         return;
       }
     }
@@ -464,6 +480,7 @@
   Listener listener_;
   std::set<ConnectionPtr> connections_;
   bool up_ = false;
+  bool entry_removed_ = false;
   int lifetime_ = 0;
   int running_ = 0;
   long long born_ms_ = 0;
@@ -629,12 +646,20 @@
   }));
 }
 
+// They live until the end, because timers and connections refer to them.
+std::vector<std::unique_ptr<Searcher>> searchers;
+
+Searcher& AddSearcher(Store& store, const std::string& id, int port, double warmup_s, double crash_above) {
+  searchers.push_back(std::make_unique<Searcher>(store, id, port, warmup_s, crash_above));
+  return *searchers.back();
+}
+
 // FAILBACK: a searcher starts again under its id while the store is down.
 int Failback(Store& store, bool trouble) {
   constexpr double kColdPerS = 4;
   constexpr double kBound = kColdPerS * 1.5 + 5;
-  Searcher first(store, "i-1a", base_port + 5, 5, 2 * kBound);
-  Searcher second(store, "i-2b", base_port + 6, 5, 2 * kBound);
+  Searcher& first = AddSearcher(store, "i-1a", base_port + 5, 5, 2 * kBound);
+  Searcher& second = AddSearcher(store, "i-2b", base_port + 6, 5, 2 * kBound);
   if (!first.Start(false) || !second.Start(false)) {
     return 2;
   }
@@ -660,7 +685,7 @@
     Record("the store goes down");
     store.silent = true;
     RunFor(0.3);
-    first.Crash();
+    first.End("crashes");
     RunFor(1);
     first.Start(true);
     RunFor(0.4);
@@ -690,17 +715,84 @@
   return most > kBound ? 1 : 0;
 }
 
+// DRAIN: the searchers of a service leave without a report while one daemon is frozen.
+constexpr double kDrain = 3;  // drain-ms
+int Drain(Store& store, bool trouble) {
+  for (int i = 0; i < 4; ++i) {
+    Searcher& searcher = AddSearcher(store, "i-" + std::to_string(i) + "d", base_port + 5 + i, 0, 1e9);
+    if (!searcher.Start(false)) {
+      return 2;
+    }
+    searcher.BeatForever();
+    RunFor(0.3);
+  }
+  store.Put("config", "main", Manifest(1, "unsafe", 0, ""));
+  for (int number = 1; number <= kDaemons; ++number) {
+    StartDaemon(number);
+  }
+  RunFor(12);
+  // Traffic goes to the two daemons that aren't disturbed.
+  for (int i = 0; i < 900; ++i) {
+    After(i * 0.01, [i] {
+      SendRequest(DaemonIp(2 + i % 2), base_port, "POST", "a-" + std::to_string(i), "Content-Length: 0\r\n");
+    });
+  }
+  RunFor(1);
+  // Daemon 1 follows the store for its failure domain, and is the one whose watches are short. It has just told its
+  // peers of a change when it freezes.
+  bool begun = false;
+  store.on_watch_answer = [&begun, trouble](double wait) {
+    if (wait < 1.5 || wait > 2 || std::exchange(begun, true)) {
+      return;
+    }
+    After(0.008, [trouble] {
+      if (trouble) {
+        Record("daemon 1 freezes");
+        kill(daemons[0], SIGSTOP);
+        After(4, [] {
+          Record("daemon 1 wakes");
+          kill(daemons[0], SIGCONT);
+        });
+      }
+    });
+    After(0.015, [] {
+      for (const auto& searcher : searchers) {
+        searcher->RemoveEntry();
+        After(kDrain + 1.5, [leaving = searcher.get()] { leaving->End("exits"); });
+      }
+    });
+  };
+  RunFor(10);
+  store.on_watch_answer = nullptr;
+  if (!begun || CountAnswered("a-", 200) < 100) {
+    Record("the daemons don't serve");
+    return 2;
+  }
+  ReportAnswers("a-");
+  int late = 0;
+  for (const auto& searcher : searchers) {
+    for (const Run& run : searcher->runs) {
+      if (run.at > searcher->removed_at + kDrain) {
+        ++late;
+        Record("request %s, sent at %.3f s, reached its searcher %.3f s after the removal of the entry",
+               run.request_id.c_str(), attempts[run.request_id].sent_at, run.at - searcher->removed_at);
+      }
+    }
+  }
+  Record("DRAIN: %d requests reached searchers more than %.0f s after they had left", late, kDrain);
+  return late > 0 ? 1 : 0;
+}
+
 // QUOTA: a tenant is taken out of the manifest and put back.
 int Quota(Store& store, bool trouble) {
   constexpr double kRate = 10, kBurst = 100, kWindow = 5;
   constexpr double kBound = (kRate * kWindow + kBurst) * 1.1 + 20;
-  std::vector<std::unique_ptr<Searcher>> searchers;
   for (int i = 0; i < 3; ++i) {
-    searchers.push_back(std::make_unique<Searcher>(store, "i-" + std::to_string(i) + "c", base_port + 5 + i, 0, 1e9));
-    if (!searchers.back()->Start(false)) {
+    Searcher& searcher = AddSearcher(store, "i-" + std::to_string(i) + "c", base_port + 5 + i, 0, 1e9);
+    if (!searcher.Start(false)) {
       return 2;
     }
-    searchers.back()->BeatForever();
+    searcher.BeatForever();
   }
   const std::string other = "{\"name\":\"t2\",\"api-keys\":[\"k2\"],\"rate-per-s\":10,\"burst\":100}";
   const std::string tenant = "{\"name\":\"t1\",\"api-keys\":[\"k1\"],\"rate-per-s\":10,\"burst\":100}";
@@ -758,10 +850,13 @@
     return 2;
   }
   folder = pattern.data();
-  Store store;
+  static Store store;
   int result = 2;
   if (FindPorts() && store.Open(base_port + 4)) {
-    result = name == "failback" ? Failback(store, trouble) : name == "quota" ? Quota(store, trouble) : 2;
+    result = name == "drain"      ? Drain(store, trouble)
+             : name == "failback" ? Failback(store, trouble)
+             : name == "quota"    ? Quota(store, trouble)
+                                  : 2;
   }
   StopAll();
   Record("result: %s", result == 1 ? "broken" : result == 0 ? "held" : "couldn't run");
